--- /dev/null
+++ b/Makefile
@@ -0,0 +1,35 @@
+PYTHON ?= python3.11
+VENV := .venv
+BIN := $(VENV)/bin
+
+.PHONY: install demo test lint format fuzz bench
+
+install: $(VENV)/.installed
+
+$(VENV)/.installed: pyproject.toml constraints.txt
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --disable-pip-version-check \
+		-c constraints.txt -e '.[dev]'
+	touch $@
+
+demo: install
+	$(BIN)/python -m cowslipshift.demo
+
+test: install
+	$(BIN)/python -m pytest
+
+fuzz: install
+	COWSLIPSHIFT_FUZZ_EXAMPLES=2000 $(BIN)/python -m pytest tests/fuzz
+
+lint: install
+	$(BIN)/ruff format --check src tests bench
+	$(BIN)/ruff check src tests bench
+	$(BIN)/flake8 src tests bench
+	$(BIN)/mypy
+
+format: install
+	$(BIN)/ruff format src tests bench
+	$(BIN)/ruff check --fix src tests bench
+
+bench: install
+	$(BIN)/python -m bench --help
--- /dev/null
+++ b/src/cowslipshift/__init__.py
@@ -0,0 +1,1 @@
+"""Global traffic steering: look-ups, request routing and coordination."""
--- /dev/null
+++ b/src/cowslipshift/config/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' configuration: format, checks, changes, resolution."""
--- /dev/null
+++ b/src/cowslipshift/console/__init__.py
@@ -0,0 +1,1 @@
+"""The command line of operators and callers."""
--- /dev/null
+++ b/src/cowslipshift/console/application.py
@@ -0,0 +1,43 @@
+"""The ``cowslipshift`` program."""
+
+from __future__ import annotations
+
+import sys
+
+import fire
+import uvloop
+
+from cowslipshift import exceptions
+from cowslipshift.console import output
+from cowslipshift.console.commands import accounts
+from cowslipshift.console.commands import config
+from cowslipshift.console.commands import fleet
+from cowslipshift.console.commands import rules
+from cowslipshift.console.commands import standin
+
+FAILURE_STATUS = 1
+
+COMMANDS = {
+    "config": config.ConfigCommand,
+    "default": rules.DefaultCommand,
+    "exception": rules.ExceptionCommand,
+    "account": accounts.AccountCommand,
+    "key": accounts.KeyCommand,
+    "fleet": fleet.FleetCommand,
+    "lookup": fleet.lookup,
+    "standin": standin.StandinCommand,
+}
+
+
+def main() -> None:
+    """Run the program."""
+    uvloop.install()
+    try:
+        fire.Fire(COMMANDS, name="cowslipshift")
+    except exceptions.CowslipshiftError as error:
+        output.print_error(error)
+        sys.exit(FAILURE_STATUS)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/cowslipshift/console/commands/__init__.py
@@ -0,0 +1,1 @@
+"""One module for each group of commands."""
--- /dev/null
+++ b/src/cowslipshift/console/commands/accounts.py
@@ -0,0 +1,181 @@
+"""``cowslipshift account`` and ``cowslipshift key``."""
+
+from __future__ import annotations
+
+import asyncio
+import secrets
+import time
+import uuid
+
+from cowslipshift.config import edits
+from cowslipshift.config import model
+from cowslipshift.console import output
+from cowslipshift.console import session
+from cowslipshift.console.commands import config
+from cowslipshift.world import contracts
+
+KEY_BYTES = 32
+
+
+class AccountCommand:
+    """Add, change and list client accounts."""
+
+    def add(
+        self,
+        name: str,
+        rate: float,
+        burst: float,
+        reason: str = "new client account",
+        services: str = "",
+        store: str | None = None,
+        author: str | None = None,
+        json: bool = False,
+    ) -> None:
+        """Add a client account.
+
+        Args:
+            name: Its name.
+            rate: Fleet-wide requests per second.
+            burst: Fleet-wide burst in requests.
+            reason: Why, for other operators.
+            services: Services it may use, separated by commas; all if empty.
+            store: Base URLs of the store.
+            author: The operator.
+            json: Print JSON.
+        """
+        entry = model.Account(
+            name=str(name),
+            rate=float(rate),
+            burst=float(burst),
+            services=tuple(s for s in str(services).split(",") if s),
+        )
+        edit = edits.add_entry("accounts", entry)
+        asyncio.run(config.make_change(edit, reason, store, author, json))
+
+    def limit(
+        self,
+        name: str,
+        rate: float,
+        burst: float,
+        reason: str,
+        store: str | None = None,
+        author: str | None = None,
+        json: bool = False,
+    ) -> None:
+        """Change the rate and burst of a client account.
+
+        Args:
+            name: Its name.
+            rate: Fleet-wide requests per second.
+            burst: Fleet-wide burst in requests.
+            reason: Why, for other operators.
+            store: Base URLs of the store.
+            author: The operator.
+            json: Print JSON.
+        """
+        edit = edits.update_entry(
+            "accounts", str(name), rate=float(rate), burst=float(burst)
+        )
+        asyncio.run(config.make_change(edit, reason, store, author, json))
+
+    def list(self, store: str | None = None, json: bool = False) -> None:
+        """List client accounts.
+
+        Args:
+            store: Base URLs of the store.
+            json: Print JSON.
+        """
+        entries = asyncio.run(_read(store)).accounts
+        rows = [["ACCOUNT", "RATE", "BURST", "SERVICES"]]
+        rows += [
+            [a.name, f"{a.rate:g}", f"{a.burst:g}", ",".join(a.services)]
+            for a in entries
+        ]
+        output.print_result(entries, output.format_table(rows), json)
+
+
+class KeyCommand:
+    """Give, withdraw and list the keys of client accounts."""
+
+    def give(
+        self,
+        account: str,
+        reason: str = "key given",
+        store: str | None = None,
+        author: str | None = None,
+        json: bool = False,
+    ) -> None:
+        """Make a key and print it once; only its digest is stored.
+
+        Args:
+            account: The client account.
+            reason: Why, for other operators.
+            store: Base URLs of the store.
+            author: The operator.
+            json: Print JSON.
+        """
+        asyncio.run(_give_key(str(account), reason, store, author, json))
+
+    def withdraw(
+        self,
+        id: str,
+        reason: str,
+        store: str | None = None,
+        author: str | None = None,
+        json: bool = False,
+    ) -> None:
+        """Withdraw a key for good.
+
+        Args:
+            id: Id of the key, as listed.
+            reason: Why, for other operators.
+            store: Base URLs of the store.
+            author: The operator.
+            json: Print JSON.
+        """
+        edit = edits.update_entry("keys", str(id), state="withdrawn")
+        asyncio.run(config.make_change(edit, reason, store, author, json))
+
+    def list(self, store: str | None = None, json: bool = False) -> None:
+        """List keys by id; the keys themselves are not stored.
+
+        Args:
+            store: Base URLs of the store.
+            json: Print JSON.
+        """
+        entries = asyncio.run(_read(store)).keys
+        rows = [["ID", "ACCOUNT", "STATE"]]
+        rows += [[key.id, key.account, key.state] for key in entries]
+        output.print_result(entries, output.format_table(rows), json)
+
+
+async def _give_key(
+    account: str,
+    reason: str,
+    store: str | None,
+    author: str | None,
+    as_json: bool,
+) -> None:
+    secret = secrets.token_urlsafe(KEY_BYTES)
+    entry = model.Key(
+        id=uuid.uuid4().hex[:12],
+        account=account,
+        digest=contracts.digest_key(secret),
+    )
+    async with session.open_editor(store, author) as editor:
+        new = await editor.change(
+            reason, time.time(), edits.add_entry("keys", entry)
+        )
+    output.print_result(
+        {"id": entry.id, "key": secret, "revision": new.revision},
+        [
+            f"key {entry.id} stored as revision {new.revision}",
+            f"give this to the caller, it is not shown again: {secret}",
+        ],
+        as_json,
+    )
+
+
+async def _read(store: str | None) -> model.Configuration:
+    async with session.open_editor(store) as editor:
+        return (await editor.read()).configuration
--- /dev/null
+++ b/src/cowslipshift/console/commands/fleet.py
@@ -0,0 +1,119 @@
+"""``cowslipshift fleet`` and ``cowslipshift lookup``."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+import aiohttp
+import msgspec
+
+from cowslipshift.console import fleetview
+from cowslipshift.console import output
+from cowslipshift.console import session
+from cowslipshift.serving import refusals
+
+
+class FleetCommand:
+    """Show the state of the fleet."""
+
+    def status(self, host: str | None = None, json: bool = False) -> None:
+        """Show each host, its configuration and its load.
+
+        Args:
+            host: Base URL of any host.
+            json: Print JSON.
+        """
+        fleet = asyncio.run(fleetview.fetch_fleet(session.find_host_url(host)))
+        rows = [["HOST", "DATA CENTRE", "REVISION", "STATE", "LINKS", "SLOTS"]]
+        rows += [
+            _describe_host(name, status) for name, status in fleet.items()
+        ]
+        output.print_result(fleet, output.format_table(rows), json)
+
+    def show(self, name: str, host: str | None = None) -> None:
+        """Show all that one host says of itself, as JSON.
+
+        Args:
+            name: Name of the host.
+            host: Base URL of any host.
+        """
+        fleet = asyncio.run(fleetview.fetch_fleet(session.find_host_url(host)))
+        if fleet.get(name) is None:
+            raise fleetview.HostUnreachableError(
+                f"host {name} is not known or does not answer"
+            )
+        output.print_result(fleet[name], [], True)
+
+
+def lookup(
+    service: str,
+    block: str | None = None,
+    host: str | None = None,
+    json: bool = False,
+) -> None:
+    """Ask a host which hosts to use for a service.
+
+    Args:
+        service: The service.
+        block: Client address or block; your own address if left out.
+        host: Base URL of any host.
+        json: Print JSON.
+    """
+    url = session.find_host_url(host)
+    answer = asyncio.run(_ask_lookup(url, service, block))
+    rows = [["HOST", "DATA CENTRE", "REGION", "URL"]]
+    rows += [
+        [h["name"], h["data_centre"], h["region"], h["url"]]
+        for h in answer["hosts"]
+    ]
+    lines = output.format_table(rows)
+    lines.append(
+        f"valid for {answer['lifetime_s']:g} s, revision {answer['revision']}"
+    )
+    output.print_result(answer, lines, json)
+
+
+async def _ask_lookup(
+    url: str, service: str, block: str | None
+) -> dict[str, Any]:
+    query = {"service": service}
+    if block:
+        query["block"] = block
+    timeout = aiohttp.ClientTimeout(total=fleetview.ASK_TIMEOUT_S)
+    try:
+        async with (
+            aiohttp.ClientSession(timeout=timeout) as client,
+            client.get(f"{url}/v1/lookup", params=query) as response,
+        ):
+            raw = await response.read()
+    except (aiohttp.ClientError, TimeoutError, OSError) as error:
+        raise fleetview.HostUnreachableError(
+            f"{url} did not answer: {error!r}"
+        ) from error
+    if response.status != 200:
+        raise refusals.decode_refusal(response.status, raw)
+    answer: dict[str, Any] = msgspec.json.decode(raw)
+    return answer
+
+
+def _describe_host(name: str, status: dict[str, Any] | None) -> list[str]:
+    if status is None:
+        return [name, "-", "-", "no answer", "-", "-"]
+    state = "live"
+    if status["leaving"]:
+        state = "leaving"
+    elif status["suspended"]:
+        state = "suspended"
+    elif not status["settled"]:
+        state = "joining"
+    usable = sum(load["usable"] for load in status["loads"])
+    in_use = sum(load["in_use"] for load in status["loads"])
+    return [
+        name,
+        status["data_centre"],
+        str(status["revision"]),
+        state,
+        str(len(status["linked"])),
+        f"{in_use}/{usable}",
+    ]
--- /dev/null
+++ b/src/cowslipshift/coordination/__init__.py
@@ -0,0 +1,1 @@
+"""Coordination parts that work without a daemon."""
--- /dev/null
+++ b/src/cowslipshift/coordination/homes.py
@@ -0,0 +1,239 @@
+"""Which host of a data centre owns each resource, and how much is usable.
+
+Ownership follows the roster by rendezvous hashing. A host that gains a
+resource may not use it before the former owner has stopped: either the
+former owner hands it over and says how much is still in use, or the hold
+time passes, after which nothing of the former owner can be running.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from cowslipshift.coordination import hashing
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Iterable
+
+    from cowslipshift.coordination import roster
+
+
+class Handover(msgspec.Struct, frozen=True):
+    """A former owner's word on a resource.
+
+    Attributes:
+        resource: The resource.
+        in_use: What the former owner still uses of it.
+        ready_in_s: How long the former owner itself had still to wait.
+    """
+
+    resource: str
+    in_use: int
+    ready_in_s: float
+
+
+class _Home:
+    __slots__ = ("default_ready_s", "lingering", "ready")
+
+    def __init__(self, default_ready_s: float) -> None:
+        self.default_ready_s = default_ready_s
+        self.ready: dict[str, float] = {}
+        self.lingering: dict[str, tuple[int, float]] = {}
+
+    @property
+    def ready_s(self) -> float:
+        """When the resource may be used, by the givers' word if any."""
+        return max(self.ready.values(), default=self.default_ready_s)
+
+    def count_lingering(self, now: float) -> int:
+        """Return what former owners may still use."""
+        for giver, (_, until_s) in list(self.lingering.items()):
+            if until_s <= now:
+                del self.lingering[giver]
+        return sum(in_use for in_use, _ in self.lingering.values())
+
+
+class _Gift:
+    __slots__ = ("given_s", "home")
+
+    def __init__(self, home: _Home, given_s: float) -> None:
+        self.home = home
+        self.given_s = given_s
+
+
+class HomeTable:
+    """The resources of a data centre and this host's part of them.
+
+    Args:
+        view: The roster that ownership follows.
+        started_clean: Whether nothing of an earlier process of this host
+            can be running.
+    """
+
+    def __init__(self, view: roster.Roster, started_clean: bool) -> None:
+        self._view = view
+        self._starts_clean = started_clean
+        self._incarnation = view.incarnation
+        self._holds: dict[str, float] = {}
+        self._homes: dict[str, _Home] = {}
+        self._owners: dict[str, str] = {}
+        self._gifts: dict[str, dict[str, _Gift]] = {}
+        self._epoch = -1
+
+    def set_resources(self, holds: dict[str, float], now: float) -> None:
+        """Declare the resources.
+
+        Args:
+            holds: For each resource the seconds after which nothing that a
+                former owner started can still be running.
+            now: Monotonic time in seconds.
+        """
+        self._holds = dict(holds)
+        self._epoch = -1
+        self.refresh(now)
+
+    def refresh(self, now: float) -> None:
+        """Follow the roster."""
+        if self._epoch == self._view.epoch:
+            return
+        self._epoch = self._view.epoch
+        if self._incarnation != self._view.incarnation:
+            self._incarnation = self._view.incarnation
+            self._homes.clear()
+            self._gifts.clear()
+        members = self._view.list_members()
+        self._owners = {
+            resource: hashing.rank_members(resource, members)[0]
+            for resource in self._holds
+            if members
+        }
+        mine = {
+            resource
+            for resource, owner in self._owners.items()
+            if owner == self._view.me
+        }
+        self._move_gifts(members)
+        for resource in self._homes.keys() - mine:
+            self._lose(resource, now)
+        for resource in mine - self._homes.keys():
+            self._gain(resource, now)
+        self._starts_clean = False
+
+    def find_owner(self, resource: str, now: float) -> str | None:
+        """Return the owner of a resource, or ``None`` without members."""
+        self.refresh(now)
+        return self._owners.get(resource)
+
+    def count_usable(self, resource: str, total: int, now: float) -> int:
+        """Return how much of a resource this host may have in use.
+
+        Args:
+            resource: The resource.
+            total: Its whole size, such as a backend server's slots.
+            now: Monotonic time in seconds.
+        """
+        may_act = self._view.may_act(now)
+        self.refresh(now)
+        home = self._homes.get(resource)
+        if home is None or not may_act or now < home.ready_s:
+            return 0
+        return max(0, total - home.count_lingering(now))
+
+    def is_mine(self, resource: str, now: float) -> bool:
+        """Tell whether this host owns a resource and may act on it."""
+        return self.count_usable(resource, 1, now) > 0
+
+    def list_mine(self, now: float) -> list[str]:
+        """Return the resources that this host owns, usable or not."""
+        self.refresh(now)
+        return sorted(self._homes)
+
+    def has_waiting(self, now: float) -> bool:
+        """Tell whether this host still waits for a resource that it owns."""
+        return any(
+            home.ready_s > now or home.count_lingering(now)
+            for home in self._homes.values()
+        )
+
+    def accept_handovers(
+        self, giver: str, handovers: Iterable[Handover], now: float
+    ) -> None:
+        """Take a former owner's word on resources that this host owns.
+
+        It comes again with every heartbeat, with lower figures. Words on
+        other resources are dropped: by the time this host owns them, yet
+        another host may have used them.
+        """
+        self.refresh(now)
+        for handover in handovers:
+            home = self._homes.get(handover.resource)
+            if home is not None:
+                hold_s = self._holds[handover.resource]
+                home.ready[giver] = now + handover.ready_in_s
+                home.lingering[giver] = (handover.in_use, now + hold_s)
+
+    def list_handovers(
+        self,
+        taker: str,
+        describe_use: Callable[[str], tuple[int, float]],
+        now: float,
+    ) -> list[Handover]:
+        """Describe what this host gave to another one.
+
+        A resource is listed until nothing that this host started on it can
+        still be running.
+
+        Args:
+            taker: The host that owns the resources now.
+            describe_use: Tells how much of a resource is still in use and
+                for how many seconds the taker has to wait.
+            now: Monotonic time in seconds.
+        """
+        self.refresh(now)
+        gifts = self._gifts.get(taker, {})
+        for resource, gift in list(gifts.items()):
+            if now - gift.given_s > self._holds.get(resource, 0.0):
+                del gifts[resource]
+        handovers = []
+        for resource, gift in gifts.items():
+            in_use, wait_s = describe_use(resource)
+            handovers.append(
+                Handover(
+                    resource,
+                    in_use + gift.home.count_lingering(now),
+                    max(0.0, gift.home.ready_s - now, wait_s),
+                )
+            )
+        return handovers
+
+    def _lose(self, resource: str, now: float) -> None:
+        home = self._homes.pop(resource)
+        owner = self._owners.get(resource)
+        if owner is not None and resource in self._holds:
+            gifts = self._gifts.setdefault(owner, {})
+            gifts[resource] = _Gift(home, now)
+
+    def _gain(self, resource: str, now: float) -> None:
+        for gifts in self._gifts.values():
+            gifts.pop(resource, None)
+        hold_s = 0.0 if self._starts_clean else self._holds[resource]
+        self._homes[resource] = _Home(now + hold_s)
+
+    def _move_gifts(self, members: list[str]) -> None:
+        """Address gifts to hosts that joined since they were made.
+
+        Gifts to hosts that went are dropped: what those hosts started is
+        unknown here.
+        """
+        for taker, gifts in list(self._gifts.items()):
+            if taker not in members:
+                del self._gifts[taker]
+                continue
+            for resource in list(gifts):
+                owner = self._owners.get(resource)
+                if owner is not None and owner != taker:
+                    moved = self._gifts.setdefault(owner, {})
+                    moved[resource] = gifts.pop(resource)
--- /dev/null
+++ b/src/cowslipshift/coordination/outcomes.py
@@ -0,0 +1,220 @@
+"""Outcomes of non-idempotent requests by idempotency key.
+
+One host at a time is home to a key, so that its table decides whether a
+request runs. A home that took over without its predecessor's table knows
+nothing of keys that may have been used before; keys carry the time of
+their making, and such keys are answered with "outcome unknown".
+"""
+
+from __future__ import annotations
+
+import collections
+import enum
+import re
+
+import msgspec
+
+RETENTION_S = 900.0
+"""How long outcomes are kept after they are known."""
+
+MAX_RECORDS = 50_000
+MAX_BODY_BYTES = 65_536
+"""Larger answers are not kept, only that the request was done."""
+
+CLOCK_SKEW_S = 2.0
+"""Largest difference allowed between the clocks of callers and hosts."""
+
+_KEY = re.compile(
+    r"^(?:(?P<home>[A-Za-z0-9][A-Za-z0-9._-]{0,62}):)?"
+    r"(?P<uuid>[0-9a-f]{8}-[0-9a-f]{4}-7[0-9a-f]{3}-[89ab][0-9a-f]{3}"
+    r"-[0-9a-f]{12})$"
+)
+
+
+class IdempotencyKey(msgspec.Struct, frozen=True):
+    """A parsed idempotency key: ``[data-centre:]uuid-version-7``.
+
+    Attributes:
+        text: The key as given.
+        home: Data centre that the key names, if any.
+        made_s: Unix time in seconds at which it was made.
+    """
+
+    text: str
+    home: str | None
+    made_s: float
+
+
+def parse_key(text: str) -> IdempotencyKey | None:
+    """Read an idempotency key; return ``None`` if it is malformed."""
+    match = _KEY.match(text)
+    if match is None:
+        return None
+    digits = match["uuid"].replace("-", "")
+    return IdempotencyKey(text, match["home"], int(digits[:12], 16) / 1000)
+
+
+class State(enum.Enum):
+    """What is known of a request."""
+
+    RUNNING = "running"
+    DONE = "done"
+    UNKNOWN = "unknown"
+
+
+class Answer(msgspec.Struct, frozen=True):
+    """A backend server's answer.
+
+    Attributes:
+        headers: Headers passed on to the caller.
+        body: The body, or ``None`` if it was too large to keep.
+    """
+
+    status: int
+    headers: list[tuple[str, str]]
+    body: bytes | None
+
+
+class Outcome(msgspec.Struct):
+    """One request by its key.
+
+    Attributes:
+        fingerprint: Hash of method, path and body, so that a key used for
+            another request is noticed.
+        changed_s: Unix time of the last change.
+    """
+
+    key: str
+    fingerprint: int
+    state: State
+    changed_s: float
+    answer: Answer | None = None
+
+
+class Verdict(enum.Enum):
+    """What a home decides on a request that asks to run."""
+
+    RUN = "run"
+    WAIT = "wait"
+    ANSWER = "answer"
+    UNKNOWN = "unknown"
+    MISMATCH = "mismatch"
+    TOO_OLD = "too_old"
+    TOO_NEW = "too_new"
+    FULL = "full"
+
+
+class OutcomeTable:
+    """The outcomes of one bucket of keys.
+
+    Args:
+        known_since_s: Unix time since which this table holds every key
+            that was run.
+    """
+
+    def __init__(self, known_since_s: float) -> None:
+        self.known_since_s = known_since_s
+        self._records: collections.OrderedDict[str, Outcome] = (
+            collections.OrderedDict()
+        )
+
+    def __len__(self) -> int:
+        return len(self._records)
+
+    def start(
+        self,
+        account: str,
+        key: IdempotencyKey,
+        fingerprint: int,
+        wall_s: float,
+    ) -> Verdict:
+        """Decide on a request and record it as running if it may run.
+
+        Args:
+            account: The client account.
+            key: Its key.
+            fingerprint: Hash of the request.
+            wall_s: Unix time in seconds.
+        """
+        self._expire(wall_s)
+        record = self._records.get(f"{account}|{key.text}")
+        if record is not None:
+            return _judge_record(record, fingerprint)
+        if key.made_s > wall_s + CLOCK_SKEW_S:
+            return Verdict.TOO_NEW
+        if key.made_s < wall_s - RETENTION_S + CLOCK_SKEW_S:
+            return Verdict.TOO_OLD
+        if key.made_s <= self.known_since_s + CLOCK_SKEW_S:
+            return Verdict.UNKNOWN
+        if len(self._records) >= MAX_RECORDS:
+            return Verdict.FULL
+        name = f"{account}|{key.text}"
+        self._records[name] = Outcome(name, fingerprint, State.RUNNING, wall_s)
+        return Verdict.RUN
+
+    def finish(
+        self, account: str, key: str, answer: Answer, wall_s: float
+    ) -> None:
+        """Record the server's own answer."""
+        record = self._records.get(f"{account}|{key}")
+        if record is None:
+            return
+        if answer.body is not None and len(answer.body) > MAX_BODY_BYTES:
+            answer = Answer(answer.status, answer.headers, None)
+        record.state = State.DONE
+        record.answer = answer
+        record.changed_s = wall_s
+        self._records.move_to_end(record.key)
+
+    def lose(self, account: str, key: str, wall_s: float) -> None:
+        """Record that it is not known whether the request ran."""
+        record = self._records.get(f"{account}|{key}")
+        if record is not None and record.state is State.RUNNING:
+            record.state = State.UNKNOWN
+            record.changed_s = wall_s
+            self._records.move_to_end(record.key)
+
+    def cancel(self, account: str, key: str) -> None:
+        """Forget a request that is known not to have run."""
+        self._records.pop(f"{account}|{key}", None)
+
+    def get_outcome(self, account: str, key: str) -> Outcome | None:
+        """Return what is known of a key."""
+        return self._records.get(f"{account}|{key}")
+
+    def list_outcomes(self) -> list[Outcome]:
+        """Return all records, oldest first."""
+        return list(self._records.values())
+
+    def adopt(self, outcomes: list[Outcome], known_since_s: float) -> None:
+        """Take over a predecessor's table.
+
+        Requests that ran when it was handed over are unknown here.
+        """
+        for outcome in outcomes:
+            if outcome.state is State.RUNNING:
+                outcome.state = State.UNKNOWN
+            self._records.setdefault(outcome.key, outcome)
+        self.known_since_s = min(self.known_since_s, known_since_s)
+
+    def _expire(self, wall_s: float) -> None:
+        """Drop old records; keys as old as these are refused anyway."""
+        while self._records:
+            oldest = next(iter(self._records.values()))
+            if wall_s - oldest.changed_s <= RETENTION_S:
+                break
+            if oldest.state is State.RUNNING:
+                self._records.move_to_end(oldest.key)
+                oldest.changed_s = wall_s
+                continue
+            self._records.popitem(last=False)
+
+
+def _judge_record(record: Outcome, fingerprint: int) -> Verdict:
+    if record.fingerprint != fingerprint:
+        return Verdict.MISMATCH
+    if record.state is State.RUNNING:
+        return Verdict.WAIT
+    if record.state is State.UNKNOWN:
+        return Verdict.UNKNOWN
+    return Verdict.ANSWER
--- /dev/null
+++ b/src/cowslipshift/coordination/roster.py
@@ -0,0 +1,350 @@
+"""Which hosts of a data centre take part in home placement.
+
+The invariant that makes placement safe without a coordinator: a host acts
+as an owner only while every host that could act counts it as a member.
+Rendezvous hashing then gives two such hosts never the same resource, for
+each would have to rank above the other.
+
+A member is removed only when its process is known to be gone (connections
+to its address are refused), when it said that it leaves, or when a fence in
+the platform's store names its incarnation and it had time to read it.
+"""
+
+from __future__ import annotations
+
+import enum
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+GONE_AFTER_S = 2.0
+"""How long connections must be refused before a process counts as gone."""
+
+SILENT_AFTER_S = 5.0
+"""How long a member may be silent before it is fenced."""
+
+ACKNOWLEDGEMENT_LIMIT_S = 4.0
+"""Age of a peer's last acknowledgement from which fences are checked."""
+
+FENCE_WAIT_S = 6.0
+"""Time that a fenced member has to read its fence and stop."""
+
+PAUSE_LIMIT_S = 1.0
+"""A gap between ticks that counts as a pause of the process."""
+
+
+class Standing(enum.Enum):
+    """How a peer stands in this host's view."""
+
+    UNKNOWN = "unknown"
+    LIVE = "live"
+    SILENT = "silent"
+    FENCED = "fenced"
+    GONE = "gone"
+    LEFT = "left"
+
+
+_REMOVED = frozenset({Standing.GONE, Standing.LEFT, Standing.FENCED})
+
+
+class Peer:
+    """What this host knows of another host of its data centre.
+
+    Attributes:
+        incarnation: Number of the process, 0 before it was heard.
+        standing: Its standing.
+        heard_s: When it was last heard.
+        acknowledged_s: Send time of the last heartbeat it acknowledged.
+        counts_me: Incarnation of this host that it counts as a member.
+        refused_s: Since when connections to it are refused.
+        fenced_s: When its fence was written or read.
+    """
+
+    __slots__ = (
+        "acknowledged_s",
+        "counts_me",
+        "fenced_s",
+        "heard_s",
+        "incarnation",
+        "name",
+        "refused_s",
+        "standing",
+    )
+
+    def __init__(self, name: str, now: float) -> None:
+        self.name = name
+        self.incarnation = 0
+        self.standing = Standing.UNKNOWN
+        self.heard_s = now
+        self.acknowledged_s: float | None = None
+        self.counts_me = 0
+        self.refused_s: float | None = None
+        self.fenced_s: float | None = None
+
+
+class Roster:
+    """This host's view of its data centre.
+
+    Args:
+        me: Name of this host.
+        incarnation: Number of this process, larger than those before it.
+        now: Monotonic time in seconds.
+    """
+
+    def __init__(self, me: str, incarnation: int, now: float) -> None:
+        self.me = me
+        self.incarnation = incarnation
+        self.peers: dict[str, Peer] = {}
+        self.epoch = 0
+        self._leaving = False
+        self._began_s = now
+        self._ticked_s = now
+        self._suspended_s: float | None = None
+
+    @property
+    def is_leaving(self) -> bool:
+        """Whether this host has begun to leave."""
+        return self._leaving
+
+    @property
+    def is_suspended(self) -> bool:
+        """Whether this host noticed a pause and has not yet rejoined."""
+        return self._suspended_s is not None
+
+    def measure_suspension(self, now: float) -> float:
+        """Return the seconds since a pause was noticed, 0 if none was."""
+        return 0.0 if self._suspended_s is None else now - self._suspended_s
+
+    def set_configured(self, hosts: Iterable[str], now: float) -> None:
+        """Add the hosts that the configuration names.
+
+        A host that the configuration no longer names stays a member until
+        it leaves or is gone, since it may not know yet.
+        """
+        for name in hosts:
+            if name != self.me and name not in self.peers:
+                self.peers[name] = Peer(name, now)
+                self.epoch += 1
+
+    def list_members(self) -> list[str]:
+        """Return the members, this host among them unless it leaves."""
+        members = [
+            peer.name
+            for peer in self.peers.values()
+            if peer.standing not in _REMOVED
+        ]
+        if not self._leaving:
+            members.append(self.me)
+        return sorted(members)
+
+    def list_live(self) -> list[str]:
+        """Return the members that were heard lately, this host included."""
+        live = [
+            peer.name
+            for peer in self.peers.values()
+            if peer.standing is Standing.LIVE
+        ]
+        return sorted([*live, self.me])
+
+    def counts(self, name: str) -> int:
+        """Return the incarnation of a peer that counts as a member, or 0."""
+        peer = self.peers.get(name)
+        if peer is None or peer.standing in _REMOVED:
+            return 0
+        return peer.incarnation
+
+    def note_heartbeat(
+        self, name: str, incarnation: int, leaving: bool, now: float
+    ) -> bool:
+        """Record that a peer was heard.
+
+        Returns:
+            Whether this is a process that was not counted before.
+        """
+        peer = self.peers.get(name)
+        if peer is None:
+            peer = self.peers[name] = Peer(name, now)
+        joined = incarnation > peer.incarnation
+        if not joined and not self._is_current(peer, incarnation):
+            return False
+        peer.incarnation = incarnation
+        peer.heard_s = now
+        peer.refused_s = None
+        if joined:
+            peer.fenced_s = None
+            peer.counts_me = 0
+            self.epoch += 1
+        self._set_standing(peer, Standing.LEFT if leaving else Standing.LIVE)
+        return joined and not leaving
+
+    def note_acknowledgement(
+        self, name: str, sent_s: float, counts_me: int
+    ) -> None:
+        """Record that a peer heard this host.
+
+        Args:
+            name: The peer.
+            sent_s: When the heartbeat that it heard was sent.
+            counts_me: Incarnation of this host that it counts, or 0.
+        """
+        peer = self.peers.get(name)
+        if peer is not None:
+            peer.acknowledged_s = sent_s
+            peer.counts_me = counts_me
+
+    def note_refused(self, name: str, now: float) -> None:
+        """Record that the peer's address refuses connections."""
+        peer = self.peers.get(name)
+        if peer is None:
+            return
+        if peer.refused_s is None:
+            peer.refused_s = now
+        if now - peer.refused_s >= GONE_AFTER_S:
+            self._set_standing(peer, Standing.GONE)
+
+    def note_unanswered(self, name: str) -> None:
+        """Record that a connection failed in a way that proves nothing."""
+        peer = self.peers.get(name)
+        if peer is not None:
+            peer.refused_s = None
+
+    def note_fence(self, name: str, incarnation: int, now: float) -> None:
+        """Record a fence read from, or written to, the store."""
+        if name == self.me:
+            if incarnation >= self.incarnation:
+                self._rejoin(incarnation + 1, now)
+            return
+        peer = self.peers.get(name)
+        if peer is None or incarnation < peer.incarnation:
+            return
+        if peer.fenced_s is None:
+            peer.fenced_s = now
+            peer.incarnation = incarnation
+
+    def tick(self, now: float) -> None:
+        """Notice pauses of this process and silence of peers."""
+        if now - self._ticked_s > PAUSE_LIMIT_S:
+            self._suspended_s = now
+            for peer in self.peers.values():
+                peer.heard_s = max(peer.heard_s, now - 1.0)
+        self._ticked_s = now
+        for peer in self.peers.values():
+            self._check_peer(peer, now)
+
+    def find_silent(self) -> list[tuple[str, int]]:
+        """Return the peers to fence, with their incarnations."""
+        return [
+            (peer.name, peer.incarnation)
+            for peer in self.peers.values()
+            if peer.standing is Standing.SILENT and peer.fenced_s is None
+        ]
+
+    def needs_fence_check(self, now: float) -> bool:
+        """Tell whether this host must ask the store for fences on it."""
+        return any(
+            peer.standing not in _REMOVED
+            and (
+                peer.acknowledged_s is None
+                or now - peer.acknowledged_s > ACKNOWLEDGEMENT_LIMIT_S
+                or peer.counts_me != self.incarnation
+            )
+            for peer in self.peers.values()
+        )
+
+    def is_superseded(self) -> bool:
+        """Tell whether a later process of this host is known to a peer."""
+        return any(
+            peer.counts_me > self.incarnation for peer in self.peers.values()
+        )
+
+    def try_resume(self, now: float, store_cleared: bool) -> None:
+        """Go on after a pause, or rejoin if a peer removed this host.
+
+        Args:
+            now: Monotonic time in seconds.
+            store_cleared: Whether the store was read since the pause and
+                shows no fence, or cannot be reached.
+        """
+        removed_here = any(
+            peer.counts_me == 0 and self._is_fresh(peer, self._began_s)
+            for peer in self.peers.values()
+            if peer.standing not in _REMOVED
+        )
+        if removed_here:
+            self._rejoin(self.incarnation + 1, now)
+            return
+        since_s = self._suspended_s
+        if since_s is None:
+            return
+        if store_cleared or all(
+            self._is_fresh(peer, since_s)
+            for peer in self.peers.values()
+            if peer.standing not in _REMOVED
+        ):
+            self._suspended_s = None
+
+    def start_leaving(self) -> None:
+        """Begin to leave: this host counts itself out."""
+        self._leaving = True
+        self.epoch += 1
+
+    def may_act(self, now: float) -> bool:
+        """Tell whether this host may act as an owner right now.
+
+        The time is compared with the last tick, so that a process that was
+        paused stops before its first decision.
+        """
+        if now - self._ticked_s > PAUSE_LIMIT_S:
+            self._suspended_s = now
+        return (
+            self._suspended_s is None
+            and not self._leaving
+            and self.is_settled()
+        )
+
+    def is_settled(self) -> bool:
+        """Tell whether every member counts this incarnation."""
+        return all(
+            peer.counts_me == self.incarnation
+            for peer in self.peers.values()
+            if peer.standing not in _REMOVED
+        )
+
+    def _is_current(self, peer: Peer, incarnation: int) -> bool:
+        return (
+            incarnation == peer.incarnation
+            and peer.fenced_s is None
+            and peer.standing not in _REMOVED
+        )
+
+    def _is_fresh(self, peer: Peer, since_s: float) -> bool:
+        return (
+            peer.acknowledged_s is not None and peer.acknowledged_s >= since_s
+        )
+
+    def _rejoin(self, incarnation: int, now: float) -> None:
+        self.incarnation = incarnation
+        self._began_s = now
+        self._suspended_s = None
+        for peer in self.peers.values():
+            peer.counts_me = 0
+            peer.acknowledged_s = None
+        self.epoch += 1
+
+    def _check_peer(self, peer: Peer, now: float) -> None:
+        if peer.fenced_s is not None:
+            if now - peer.fenced_s >= FENCE_WAIT_S:
+                self._set_standing(peer, Standing.FENCED)
+            return
+        silent = now - peer.heard_s > SILENT_AFTER_S
+        if silent and peer.standing in (Standing.LIVE, Standing.UNKNOWN):
+            self._set_standing(peer, Standing.SILENT)
+
+    def _set_standing(self, peer: Peer, standing: Standing) -> None:
+        if peer.standing is standing:
+            return
+        was_removed = peer.standing in _REMOVED
+        peer.standing = standing
+        if (standing in _REMOVED) != was_removed:
+            self.epoch += 1
--- /dev/null
+++ b/src/cowslipshift/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon that runs on each entry host."""
--- /dev/null
+++ b/src/cowslipshift/daemon/exceptions.py
@@ -0,0 +1,24 @@
+"""Errors of the daemon."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from cowslipshift import exceptions
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+
+class SettingsError(exceptions.CowslipshiftError):
+    """Some settings are missing or wrong.
+
+    Attributes:
+        faults: A line for each fault.
+    """
+
+    code = "settings_invalid"
+
+    def __init__(self, faults: Sequence[str]) -> None:
+        super().__init__("; ".join(faults))
+        self.faults = tuple(faults)
--- /dev/null
+++ b/src/cowslipshift/daemon/factory.py
@@ -0,0 +1,229 @@
+"""Assembling a host from its settings."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from aiohttp import web
+
+from cowslipshift import clock as clocks
+from cowslipshift.config import keeper as keepers
+from cowslipshift.coordination import attempts
+from cowslipshift.coordination import facts
+from cowslipshift.coordination import homes
+from cowslipshift.coordination import roster as rosters
+from cowslipshift.daemon import host as hosts
+from cowslipshift.daemon import membership as memberships
+from cowslipshift.daemon import operations
+from cowslipshift.daemon import relay as relays
+from cowslipshift.daemon import storewatcher
+from cowslipshift.peers import network as networks
+from cowslipshift.routing import directory as directories
+from cowslipshift.routing import loads
+from cowslipshift.routing import preference
+from cowslipshift.routing import selection
+from cowslipshift.serving import allowance
+from cowslipshift.serving import dispatcher
+from cowslipshift.serving import forwarding
+from cowslipshift.serving import gateway
+from cowslipshift.serving import keyed
+from cowslipshift.serving import peerapi
+from cowslipshift.serving import router
+from cowslipshift.serving import transport
+from cowslipshift.store import client as store_clients
+from cowslipshift.telemetry import metrics as metric
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from cowslipshift.daemon import settings as daemon_settings
+
+ATTEMPT_RETENTION_S = 60.0
+MAX_HEADER_BYTES = 16_384
+
+
+class Assembly:
+    """The parts of a running host."""
+
+    def __init__(
+        self,
+        *,
+        host: hosts.Host,
+        membership: memberships.Membership,
+        watcher: storewatcher.StoreWatcher,
+        sessions: transport.Sessions,
+        store: store_clients.StoreClient,
+        callers: web.Application,
+        peers: web.Application,
+        origin: memberships.Origin,
+    ) -> None:
+        self.host = host
+        self.membership = membership
+        self.watcher = watcher
+        self.sessions = sessions
+        self.store = store
+        self.callers = callers
+        self.peers = peers
+        self.origin = origin
+
+
+async def assemble_host(
+    settings: daemon_settings.Settings,
+    on_superseded: Callable[[], None],
+    clock: clocks.Clock | None = None,
+) -> Assembly:
+    """Build a host and the applications that it serves.
+
+    Args:
+        settings: Checked settings.
+        on_superseded: Called when a later process of this host is known.
+        clock: Source of the present time.
+    """
+    clock = clock or clocks.SystemClock()
+    metrics = metric.Metrics(settings.name)
+    sessions = transport.Sessions(settings.source_address or None)
+    store = store_clients.StoreClient(
+        settings.store,
+        sessions.pooled,
+        lambda kind: metrics.store_calls.inc({"kind": kind}),
+    )
+    origin = await memberships.register_host(
+        store, settings.name, clock.wall()
+    )
+    now = clock.now()
+    roster = rosters.Roster(settings.name, origin.incarnation, now)
+    slots = homes.HomeTable(roster, origin.is_clean)
+    accounts = homes.HomeTable(roster, origin.is_first)
+    board = facts.FactBoard(lambda fact: host.note_fact(fact))
+    load_board = loads.LoadBoard()
+    host = hosts.Host(
+        settings,
+        clock,
+        roster,
+        slots,
+        accounts,
+        keepers.Keeper(),
+        board,
+        load_board,
+        metrics,
+    )
+    network = networks.Network(
+        settings.name,
+        settings.secret,
+        clock,
+        sessions.pooled,
+        host,
+        lambda way, size: metrics.peer_bytes.add({"direction": way}, size),
+    )
+    roles = _build_roles(host, network, sessions, slots, accounts, origin)
+    host.assemble(roles, network)
+    watcher = storewatcher.StoreWatcher(
+        settings.name, store, host.keeper, roles.relay, roster.list_live
+    )
+    membership = memberships.Membership(
+        settings.data_centre, clock, roster, store, on_superseded
+    )
+    membership.add_ticker(host)
+    membership.add_pause_listener(roles.allowance.forget)
+    book = attempts.AttemptBook(now, ATTEMPT_RETENTION_S)
+    api = peerapi.PeerApi(
+        settings.secret,
+        clock,
+        network,
+        roles.router,
+        roles.dispatcher,
+        roles.keyed,
+        book,
+        lambda: roster.incarnation,
+    )
+    callers = web.Application()
+    roles.gateway.add_routes(callers.router)
+    operations.Operations(host, watcher, metrics).add_routes(callers.router)
+    return Assembly(
+        host=host,
+        membership=membership,
+        watcher=watcher,
+        sessions=sessions,
+        store=store,
+        callers=callers,
+        peers=api.build_application(),
+        origin=origin,
+    )
+
+
+def _build_roles(
+    host: hosts.Host,
+    network: networks.Network,
+    sessions: transport.Sessions,
+    slots: homes.HomeTable,
+    accounts: homes.HomeTable,
+    origin: memberships.Origin,
+) -> hosts.Roles:
+    settings, clock = host.settings, host.clock
+    name, centre = settings.name, settings.data_centre
+    running = dispatcher.Dispatcher(name, clock, slots, sessions, host.metrics)
+    forwarder = forwarding.Forwarder(
+        name,
+        settings.secret,
+        clock,
+        sessions,
+        host.find_address,
+        host.find_incarnation,
+    )
+    forwarder.add_load_listener(
+        lambda target, load: host.load_board.note_report(
+            target, load, clock.now()
+        )
+    )
+    regions = preference.RegionOrder(settings.region, clock)
+    selector = selection.Selector(
+        name,
+        centre,
+        host.load_board,
+        running.measure_load,
+        origin.incarnation,
+    )
+    routing = router.Router(
+        name,
+        clock,
+        selector,
+        running,
+        forwarder,
+        host.load_board,
+        host.metrics,
+        regions.order_for_call,
+    )
+    keyed_calls = keyed.KeyedCalls(
+        name,
+        centre,
+        clock,
+        slots,
+        routing.run,
+        forwarder,
+        host.list_centre_hosts,
+        origin.is_first,
+    )
+    desk = allowance.AllowanceDesk(
+        name,
+        centre,
+        clock,
+        accounts,
+        network,
+        origin.incarnation,
+        origin.is_first,
+    )
+    directory = directories.Directory(
+        settings.region, host, regions.order_for_lookup
+    )
+    callers = gateway.Gateway(
+        clock, directory, desk, routing, keyed_calls, host.metrics
+    )
+    return hosts.Roles(
+        directory=directory,
+        allowance=desk,
+        dispatcher=running,
+        router=routing,
+        keyed=keyed_calls,
+        gateway=callers,
+        relay=relays.Relay(host.keeper, host.board, network),
+    )
--- /dev/null
+++ b/src/cowslipshift/daemon/host.py
@@ -0,0 +1,316 @@
+"""One entry host: the roles it plays and what links them."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from cowslipshift.coordination import facts
+from cowslipshift.daemon import relay as relays
+from cowslipshift.daemon import storewatcher
+from cowslipshift.peers import messages
+from cowslipshift.serving import dispatcher as dispatchers
+from cowslipshift.serving import keyed as keyed_calls
+from cowslipshift.telemetry import logs
+from cowslipshift.world import atlas as atlases
+from cowslipshift.world import links
+
+if TYPE_CHECKING:
+    from cowslipshift import clock as clocks
+    from cowslipshift.config import keeper as keepers
+    from cowslipshift.config import model
+    from cowslipshift.coordination import homes
+    from cowslipshift.coordination import roster as rosters
+    from cowslipshift.daemon import settings as daemon_settings
+    from cowslipshift.peers import network as networks
+    from cowslipshift.routing import directory as directories
+    from cowslipshift.routing import loads
+    from cowslipshift.serving import allowance as allowances
+    from cowslipshift.serving import gateway as gateways
+    from cowslipshift.serving import router as routers
+    from cowslipshift.telemetry import metrics as metric
+
+LEAVING = "host_leaving"
+"""Kind of facts that tell whether a process of a host leaves."""
+
+
+NUDGE_INTERVAL_S = 0.05
+
+
+class Roles:
+    """The parts of a host that follow the configuration."""
+
+    def __init__(
+        self,
+        *,
+        directory: directories.Directory,
+        allowance: allowances.AllowanceDesk,
+        dispatcher: dispatchers.Dispatcher,
+        router: routers.Router,
+        keyed: keyed_calls.KeyedCalls,
+        gateway: gateways.Gateway,
+        relay: relays.Relay,
+    ) -> None:
+        self.directory = directory
+        self.allowance = allowance
+        self.dispatcher = dispatcher
+        self.router = router
+        self.keyed = keyed
+        self.gateway = gateway
+        self.relay = relay
+
+
+class Host:
+    """Applies configurations to the roles and answers the links.
+
+    Args:
+        settings: Settings of the daemon.
+        clock: Source of the present time.
+        roster: The view of the data centre.
+        slots: Ownership of slots and idempotency keys.
+        accounts: Ownership of accounts.
+        keeper: The configuration in force.
+        board: The facts.
+        loads: Loads of other hosts.
+        metrics: Metrics of the host.
+    """
+
+    def __init__(
+        self,
+        settings: daemon_settings.Settings,
+        clock: clocks.Clock,
+        roster: rosters.Roster,
+        slots: homes.HomeTable,
+        accounts: homes.HomeTable,
+        keeper: keepers.Keeper,
+        board: facts.FactBoard,
+        load_board: loads.LoadBoard,
+        metrics: metric.Metrics,
+    ) -> None:
+        self.settings = settings
+        self.clock = clock
+        self.roster = roster
+        self.keeper = keeper
+        self.board = board
+        self.metrics = metrics
+        self.atlas: atlases.Atlas | None = None
+        self._slots = slots
+        self._accounts = accounts
+        self.load_board = load_board
+        self._nudged: dict[str, float] = {}
+        self._log = logs.EventLog("host")
+        self._roles: Roles | None = None
+        self._network: networks.Network | None = None
+
+    @property
+    def roles(self) -> Roles:
+        """The parts of this host."""
+        assert self._roles is not None
+        return self._roles
+
+    @property
+    def network(self) -> networks.Network:
+        """The links of this host."""
+        assert self._network is not None
+        return self._network
+
+    def assemble(self, roles: Roles, network: networks.Network) -> None:
+        """Take the parts, which know this host."""
+        self._roles = roles
+        self._network = network
+        self.keeper.add_listener(self.apply)
+
+    def apply(self, configuration: model.Configuration, source: str) -> None:
+        """Put a configuration in force."""
+        now = self.clock.now()
+        atlas = atlases.Atlas(configuration)
+        self.atlas = atlas
+        centre_name = self.settings.data_centre
+        centre = atlas.fleet.data_centres.get(centre_name)
+        if centre is None or centre.region != self.settings.region:
+            self._log.error(
+                "place_unknown",
+                data_centre=centre_name,
+                region=self.settings.region,
+            )
+        self.roster.set_configured(centre.hosts if centre else [], now)
+        holds = dispatchers.build_resources(atlas, centre_name)
+        longest_s = max(holds.values(), default=0.0)
+        holds |= keyed_calls.build_resources(centre_name, longest_s)
+        self._slots.set_resources(holds, now)
+        roles = self.roles
+        roles.relay.apply(atlas.fleet)
+        roles.allowance.apply(atlas)
+        roles.dispatcher.apply(atlas, centre_name)
+        if self.settings.region in atlas.fleet.regions:
+            table = links.LinkTable(
+                configuration, atlas.fleet, self.settings.region, now
+            )
+            roles.router.apply(atlas, table, self.settings.region)
+        roles.keyed.apply(atlas)
+        roles.directory.apply(atlas)
+        roles.gateway.apply(atlas)
+        self.metrics.revision.set({}, configuration.revision)
+        self._link_peers(atlas)
+
+    def tick(self, now: float) -> None:
+        """Follow the roster: slots, accounts and queues."""
+        self._slots.refresh(now)
+        self._accounts.refresh(now)
+        self.roles.allowance.refresh()
+        self.roles.dispatcher.serve_queues()
+
+    def find_address(self, host: str) -> str | None:
+        """Return a host's peer address."""
+        if self.atlas is None:
+            return None
+        entry = self.atlas.fleet.hosts.get(host)
+        return entry.peer if entry is not None else None
+
+    def find_incarnation(self, host: str) -> int:
+        """Return the process of a host of this data centre, or 0."""
+        return self.roster.counts(host)
+
+    def is_leaving(self, host: str) -> bool:
+        """Tell whether a host leaves, by its own or the platform's word."""
+        if host == self.settings.name and self.roster.is_leaving:
+            return True
+        own = self.board.get_fact(LEAVING, host)
+        if own is not None and own.value == "leaving":
+            return True
+        listed = self.board.get_fact(storewatcher.LISTED, host)
+        return listed is not None and listed.value == "leaving"
+
+    def is_reachable(self, host: str) -> bool:
+        """Tell whether a host is this one or linked."""
+        return host == self.settings.name or self.network.is_linked(host)
+
+    def list_centre_hosts(self, centre: str) -> list[str]:
+        """Return the reachable hosts of a data centre."""
+        if self.atlas is None:
+            return []
+        entry = self.atlas.fleet.data_centres.get(centre)
+        hosts = entry.hosts if entry is not None else []
+        return [
+            host
+            for host in hosts
+            if self.is_reachable(host) and not self.is_leaving(host)
+        ]
+
+    def has_waiting_homes(self) -> bool:
+        """Tell whether something of an earlier owner may still run."""
+        now = self.clock.now()
+        return self._slots.has_waiting(now)
+
+    def note_fact(self, fact: facts.Fact) -> None:
+        """Follow a new fact."""
+        if fact.kind in (LEAVING, storewatcher.LISTED) and self._roles:
+            self._roles.directory.forget_answers()
+
+    def announce(self, state: str) -> None:
+        """Tell all hosts whether this process leaves."""
+        self.roles.relay.publish(
+            facts.Fact(
+                LEAVING, self.settings.name, self.roster.incarnation, state
+            )
+        )
+
+    def build_heartbeat(
+        self, host: str, sequence: int, heard_sequence: int
+    ) -> messages.Heartbeat:
+        """Build the next heartbeat for a host."""
+        now = self.clock.now()
+        handovers: list[homes.Handover] = []
+        if host in self.roster.peers:
+            handovers = self._slots.list_handovers(
+                host, self._describe_slot, now
+            ) + self._accounts.list_handovers(
+                host, self.roles.allowance.describe, now
+            )
+        return messages.Heartbeat(
+            host=self.settings.name,
+            incarnation=self.roster.incarnation,
+            sequence=sequence,
+            heard_sequence=heard_sequence,
+            counts_you=self.roster.counts(host),
+            leaving=self.roster.is_leaving,
+            revision=self.keeper.revision,
+            fact_digest=self.board.digest,
+            handovers=handovers,
+            loads=self.roles.dispatcher.measure_loads(),
+        )
+
+    def handle_message(
+        self, host: str, message: messages.Message, sent_s: float | None
+    ) -> None:
+        """Take a message from a link."""
+        relay = self.roles.relay
+        if isinstance(message, messages.Heartbeat):
+            self._handle_heartbeat(host, message, sent_s)
+        elif isinstance(message, messages.ConfigurationRequest):
+            relay.handle_request(host, message)
+        elif isinstance(message, messages.ConfigurationOffer):
+            relay.handle_offer(host, message)
+        elif isinstance(message, messages.Facts):
+            relay.handle_facts(host, message)
+        elif isinstance(message, messages.Wants):
+            grants = self.roles.allowance.lend(host, message.wants)
+            if grants:
+                self.network.send(host, messages.Grants(grants))
+        elif isinstance(message, messages.Grants):
+            self.roles.allowance.accept(host, message.grants)
+
+    def note_refused(self, host: str) -> None:
+        """Learn that a host's address refuses connections."""
+        self.roster.note_refused(host, self.clock.now())
+
+    def note_unanswered(self, host: str) -> None:
+        """Learn that a connection attempt proved nothing."""
+        self.roster.note_unanswered(host)
+
+    def note_unlinked(self, host: str) -> None:
+        """Learn that the link to a host is gone."""
+        self.load_board.forget_host(host)
+        self.roles.directory.forget_answers()
+
+    def _handle_heartbeat(
+        self, host: str, heartbeat: messages.Heartbeat, sent_s: float | None
+    ) -> None:
+        now = self.clock.now()
+        is_new = heartbeat.sequence == 1
+        if host in self.roster.peers:
+            joined = self.roster.note_heartbeat(
+                host, heartbeat.incarnation, heartbeat.leaving, now
+            )
+            self._slots.accept_handovers(host, heartbeat.handovers, now)
+            self._accounts.accept_handovers(host, heartbeat.handovers, now)
+            if sent_s is not None:
+                self.roster.note_acknowledgement(
+                    host, sent_s, heartbeat.counts_you
+                )
+            unsettled = heartbeat.counts_you != self.roster.incarnation
+            is_new = is_new or joined or (unsettled and sent_s is not None)
+        if is_new:
+            self._answer_heartbeat(host, now)
+        self.load_board.note_reports(host, heartbeat.loads, now)
+        self.roles.relay.compare(host, heartbeat)
+
+    def _answer_heartbeat(self, host: str, now: float) -> None:
+        """Send a heartbeat out of turn, so that both sides settle soon."""
+        if now - self._nudged.get(host, float("-inf")) < NUDGE_INTERVAL_S:
+            return
+        self._nudged[host] = now
+        self.network.send_heartbeat(host)
+        self.roles.directory.forget_answers()
+
+    def _describe_slot(self, resource: str) -> tuple[int, float]:
+        if resource.startswith("keys:"):
+            return self.roles.keyed.describe(resource)
+        name = resource.partition(":")[2]
+        return self.roles.dispatcher.count_running(name), 0.0
+
+    def _link_peers(self, atlas: atlases.Atlas) -> None:
+        peers = relays.choose_peers(atlas.fleet, self.settings.name)
+        addresses = {
+            name: atlas.fleet.hosts[name].peer for name in sorted(peers)
+        }
+        self.network.set_peers(addresses)
--- /dev/null
+++ b/src/cowslipshift/daemon/membership.py
@@ -0,0 +1,238 @@
+"""This host's part in the roster of its data centre."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Protocol
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from cowslipshift.store import exceptions as store_exceptions
+from cowslipshift.store import keys
+from cowslipshift.telemetry import logs
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from cowslipshift import clock as clocks
+    from cowslipshift.coordination import roster as rosters
+    from cowslipshift.store import client as clients
+
+TICK_S = 0.1
+FENCE_CHECK_INTERVAL_S = 2.0
+STORE_WAIT_S = 5.0
+"""Time after a pause in which peers can say that they removed this host,
+where the store cannot be asked.
+"""
+
+Fences = dict[str, int]
+"""Fenced incarnations by host, the value of a data centre's fence key."""
+
+
+class HostRecord(msgspec.Struct):
+    """What the store keeps of a host.
+
+    Attributes:
+        incarnation: Number of the last process.
+        state: ``running``, or ``stopped`` after a graceful shutdown.
+        at_ms: Unix milliseconds of the last change.
+    """
+
+    incarnation: int
+    state: str
+    at_ms: int
+
+
+class Origin(msgspec.Struct, frozen=True):
+    """How this process begins.
+
+    Attributes:
+        incarnation: Its number.
+        is_clean: Whether nothing of an earlier process can be running.
+        is_first: Whether there was no earlier process at all.
+    """
+
+    incarnation: int
+    is_clean: bool
+    is_first: bool
+
+
+class Ticker(Protocol):
+    """Something that follows the roster at each tick."""
+
+    def tick(self, now: float) -> None:
+        """Follow the roster."""
+
+
+async def register_host(
+    store: clients.StoreClient, host: str, wall_s: float
+) -> Origin:
+    """Record in the store that a process of this host begins.
+
+    Without the store nothing is known of earlier processes, and the host
+    waits before it uses what they may have held.
+    """
+    log = logs.EventLog("membership")
+    number = int(wall_s * 1000)
+    try:
+        known = await store.get_key(keys.HOSTS + host)
+        record = _read_record(known.value) if known is not None else None
+        if record is not None:
+            number = max(number, record.incarnation + 1)
+        now_ms = int(wall_s * 1000)
+        fresh = HostRecord(number, "running", now_ms)
+        swapped = await store.swap_key(
+            keys.HOSTS + host,
+            msgspec.json.encode(fresh),
+            known.mod_revision if known is not None else 0,
+        )
+    except store_exceptions.StoreError as error:
+        log.warn("register_failed", reason=error)
+        return Origin(number, is_clean=False, is_first=False)
+    is_first = swapped and known is None
+    is_clean = swapped and record is not None and record.state == "stopped"
+    log.info("registered", incarnation=number, first=is_first, clean=is_clean)
+    return Origin(number, is_clean or is_first, is_first)
+
+
+async def record_stop(
+    store: clients.StoreClient, host: str, incarnation: int, wall_s: float
+) -> None:
+    """Record in the store that this process ended gracefully.
+
+    Raises:
+        StoreError: The store is away.
+    """
+    known = await store.get_key(keys.HOSTS + host)
+    record = _read_record(known.value) if known is not None else None
+    if known is None or record is None or record.incarnation > incarnation:
+        return
+    stopped = HostRecord(incarnation, "stopped", int(wall_s * 1000))
+    await store.swap_key(
+        keys.HOSTS + host, msgspec.json.encode(stopped), known.mod_revision
+    )
+
+
+def _read_record(raw: bytes) -> HostRecord | None:
+    try:
+        return msgspec.json.decode(raw, type=HostRecord)
+    except msgspec.DecodeError:
+        return None
+
+
+class Membership:
+    """Ticks the roster, fences silent peers and obeys fences.
+
+    Args:
+        data_centre: This host's data centre.
+        clock: Source of the present time.
+        roster: The view of the data centre.
+        store: The platform's store.
+        on_superseded: Called when a later process of this host is known.
+    """
+
+    def __init__(
+        self,
+        data_centre: str,
+        clock: clocks.Clock,
+        roster: rosters.Roster,
+        store: clients.StoreClient,
+        on_superseded: Callable[[], None],
+    ) -> None:
+        self._clock = clock
+        self._roster = roster
+        self._store = store
+        self._on_superseded = on_superseded
+        self._key = keys.FENCES + data_centre
+        self._tickers: list[Ticker] = []
+        self._on_pause: list[Callable[[], None]] = []
+        self._log = logs.EventLog("membership")
+        self._was_suspended = False
+
+    def add_ticker(self, ticker: Ticker) -> None:
+        """Tick something with the roster."""
+        self._tickers.append(ticker)
+
+    def add_pause_listener(self, listener: Callable[[], None]) -> None:
+        """Call a function when this process notices that it was paused."""
+        self._on_pause.append(listener)
+
+    async def run(self) -> None:
+        """Tick until cancelled."""
+        while True:
+            self.tick_once()
+            await asyncio.sleep(TICK_S)
+
+    def tick_once(self) -> None:
+        """Bring the roster and all that follows it up to now."""
+        now = self._clock.now()
+        self._roster.tick(now)
+        if self._roster.is_superseded():
+            self._on_superseded()
+        suspended = self._roster.is_suspended
+        if suspended and not self._was_suspended:
+            self._log.warn("paused")
+            for listener in self._on_pause:
+                listener()
+        self._was_suspended = suspended
+        before = self._roster.incarnation
+        self._roster.try_resume(now, store_cleared=False)
+        if self._roster.incarnation != before:
+            self._log.warn("rejoining", incarnation=self._roster.incarnation)
+        for ticker in self._tickers:
+            ticker.tick(now)
+
+    async def run_fences(self) -> None:
+        """Write and read fences where they are needed, until cancelled."""
+        while True:
+            await asyncio.sleep(FENCE_CHECK_INTERVAL_S)
+            now = self._clock.now()
+            silent = self._roster.find_silent()
+            needed = self._roster.needs_fence_check(now)
+            if silent or needed or self._roster.is_suspended:
+                await self._settle_fences(silent)
+
+    async def _settle_fences(self, silent: list[tuple[str, int]]) -> None:
+        cleared = False
+        try:
+            known = await self._store.get_key(self._key)
+            cleared = True
+            fences = _read_fences(known.value if known else b"{}")
+            self._obey(fences)
+            wanted = {
+                name: number
+                for name, number in silent
+                if fences.get(name, -1) < number
+            }
+            if wanted and not self._roster.is_suspended:
+                await self._write(fences | wanted, known)
+                self._obey(fences | wanted)
+                self._log.warn("fenced", hosts=",".join(sorted(wanted)))
+        except store_exceptions.StoreError as error:
+            self._log.info("fences_unread", reason=error)
+        now = self._clock.now()
+        waited = self._roster.measure_suspension(now) > STORE_WAIT_S
+        self._roster.try_resume(now, store_cleared=cleared or waited)
+
+    async def _write(self, fences: Fences, known: object) -> None:
+        revision = getattr(known, "mod_revision", 0)
+        swapped = await self._store.swap_key(
+            self._key, msgspec.json.encode(fences), revision
+        )
+        if not swapped:
+            raise store_exceptions.StoreError("another host wrote fences")
+
+    def _obey(self, fences: Fences) -> None:
+        now = self._clock.now()
+        for name, number in fences.items():
+            self._roster.note_fence(name, number, now)
+
+
+def _read_fences(raw: bytes) -> Fences:
+    try:
+        return msgspec.json.decode(raw, type=Fences)
+    except msgspec.DecodeError as error:
+        raise store_exceptions.StoreAnswerError(
+            f"the fence record is malformed: {error}"
+        ) from error
--- /dev/null
+++ b/src/cowslipshift/daemon/operations.py
@@ -0,0 +1,110 @@
+"""The operators' HTTP interface of a host: status, health and metrics."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from aiohttp import web
+import msgspec
+
+if TYPE_CHECKING:
+    from cowslipshift.daemon import host as hosts
+    from cowslipshift.daemon import storewatcher as watchers
+    from cowslipshift.telemetry import metrics as metric
+
+
+class Operations:
+    """Shows what a host does.
+
+    Args:
+        host: The host.
+        watcher: Its part in following the store.
+        metrics: Its metrics.
+    """
+
+    def __init__(
+        self,
+        host: hosts.Host,
+        watcher: watchers.StoreWatcher,
+        metrics: metric.Metrics,
+    ) -> None:
+        self._host = host
+        self._watcher = watcher
+        self._metrics = metrics
+
+    def add_routes(self, router: web.UrlDispatcher) -> None:
+        """Add the operators' routes to an application."""
+        router.add_get("/v1/status", self.handle_status)
+        router.add_get("/healthz", self.handle_health)
+        router.add_get("/metrics", self.handle_metrics)
+
+    async def handle_status(self, request: web.Request) -> web.Response:
+        """Describe the host as JSON."""
+        return web.Response(
+            body=msgspec.json.encode(self.describe()),
+            content_type="application/json",
+        )
+
+    async def handle_health(self, request: web.Request) -> web.Response:
+        """Tell whether the host can serve callers."""
+        ready = self._host.atlas is not None and not (
+            self._host.roster.is_leaving
+        )
+        return web.Response(
+            status=200 if ready else 503, text="ok" if ready else "not ready"
+        )
+
+    async def handle_metrics(self, request: web.Request) -> web.Response:
+        """Render the metrics for Prometheus."""
+        self._update_gauges()
+        content, headers = self._metrics.render()
+        return web.Response(body=content, headers=headers)
+
+    def describe(self) -> dict[str, object]:
+        """Return what the status shows."""
+        host = self._host
+        roles = host.roles
+        return {
+            "host": host.settings.name,
+            "data_centre": host.settings.data_centre,
+            "region": host.settings.region,
+            "revision": host.keeper.revision,
+            "incarnation": host.roster.incarnation,
+            "leaving": host.roster.is_leaving,
+            "settled": host.roster.is_settled(),
+            "suspended": host.roster.is_suspended,
+            "watches_store": self._watcher.is_watcher(),
+            "store_connected": self._watcher.is_connected,
+            "hosts": self._list_addresses(),
+            "linked": host.network.list_linked(),
+            "members": host.roster.list_members(),
+            "peers": {
+                peer.name: peer.standing.value
+                for peer in host.roster.peers.values()
+            },
+            "loads": [
+                msgspec.to_builtins(load)
+                for load in roles.dispatcher.measure_loads()
+            ],
+            "accounts": roles.allowance.describe_shares(),
+            "facts": [
+                msgspec.to_builtins(fact) for fact in host.board.list_facts()
+            ],
+            "requests_running": roles.gateway.running,
+        }
+
+    def _list_addresses(self) -> dict[str, str]:
+        atlas = self._host.atlas
+        if atlas is None:
+            return {}
+        return {name: entry.url for name, entry in atlas.fleet.hosts.items()}
+
+    def _update_gauges(self) -> None:
+        metrics = self._metrics
+        linked = len(self._host.network.list_linked())
+        metrics.peers.set({"state": "linked"}, linked)
+        for load in self._host.roles.dispatcher.measure_loads():
+            labels = {"service": load.service}
+            metrics.slots.set({**labels, "state": "usable"}, load.usable)
+            metrics.slots.set({**labels, "state": "in_use"}, load.in_use)
+            metrics.queued.set(labels, load.queued)
--- /dev/null
+++ b/src/cowslipshift/daemon/service.py
@@ -0,0 +1,171 @@
+"""Running a host: start, tasks, graceful shutdown."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import os
+from typing import Any
+from typing import TYPE_CHECKING
+
+from aiohttp import web
+import aiomisc
+
+from cowslipshift.daemon import factory
+from cowslipshift.daemon import membership
+from cowslipshift.daemon import settings as daemon_settings
+from cowslipshift.store import exceptions as store_exceptions
+from cowslipshift.store import keys
+from cowslipshift.telemetry import logs
+
+if TYPE_CHECKING:
+    from collections.abc import Coroutine
+
+SUPERSEDED_STATUS = 3
+"""Exit status of a process that a later one of the same host replaced."""
+
+LEAVE_NOTICE_S = 1.0
+"""Time for the word that a host leaves to reach look-ups elsewhere."""
+
+POLL_S = 0.05
+CLOSE_TIMEOUT_S = 2.0
+
+
+class HostService(aiomisc.Service):
+    """One host as a service of the event loop."""
+
+    settings: daemon_settings.Settings
+
+    async def start(self) -> Any:
+        """Assemble the host, listen and start its tasks."""
+        self._log = logs.EventLog("service")
+        self._tasks: list[asyncio.Task[None]] = []
+        settings = self.settings
+        self._assembly = await factory.assemble_host(
+            settings, _exit_superseded
+        )
+        parts = self._assembly
+        self._peer_runner = await _listen(parts.peers, settings.peer_listen)
+        parts.host.network.set_peers(
+            {f"@{address}": address for address in settings.peers}
+        )
+        await parts.watcher.read_once()
+        self._start_tasks()
+        self._caller_runner = await _listen(parts.callers, settings.listen)
+        parts.host.announce("live")
+        self._log.info(
+            "started",
+            listen=settings.listen,
+            peer_listen=settings.peer_listen,
+            revision=parts.host.keeper.revision,
+            incarnation=parts.origin.incarnation,
+        )
+
+    async def stop(self, exception: Exception | None = None) -> Any:
+        """Leave gracefully: tell, hand over, answer, then close."""
+        parts = self._assembly
+        loop = asyncio.get_running_loop()
+        until_s = loop.time() + self.settings.drain_s
+        self._log.info("leaving")
+        parts.host.announce("leaving")
+        await asyncio.sleep(LEAVE_NOTICE_S)
+        parts.host.roster.start_leaving()
+        self._send_heartbeats()
+        await self._drain(until_s)
+        parts.host.roles.gateway.close()
+        await self._drain(until_s)
+        self._send_heartbeats()
+        await self._record_stop()
+        await self._close()
+        self._log.info("stopped")
+
+    def _start_tasks(self) -> None:
+        parts = self._assembly
+        jobs: list[Coroutine[Any, Any, None]] = [
+            parts.membership.run(),
+            parts.membership.run_fences(),
+            parts.watcher.run_reads(),
+            parts.watcher.run_watch(keys.CONFIGURATION),
+            parts.watcher.run_watch(keys.PLATFORM_HOSTS),
+            parts.host.roles.allowance.run(),
+            self._run_moves(),
+        ]
+        for job in jobs:
+            task = asyncio.create_task(job)
+            task.add_done_callback(self._check_task)
+            self._tasks.append(task)
+
+    def _check_task(self, task: asyncio.Task[None]) -> None:
+        """End the process when a task dies: a host must not run in part."""
+        if task.cancelled() or task.exception() is None:
+            return
+        self._log.error("task_failed", reason=repr(task.exception()))
+        os._exit(1)
+
+    async def _run_moves(self) -> None:
+        while True:
+            await self._assembly.host.roles.keyed.move_tables()
+            await asyncio.sleep(POLL_S)
+
+    def _send_heartbeats(self) -> None:
+        network = self._assembly.host.network
+        for host in network.list_linked():
+            network.send_heartbeat(host)
+
+    async def _drain(self, until_s: float) -> None:
+        loop = asyncio.get_running_loop()
+        while self._count_running() and loop.time() < until_s:
+            await asyncio.sleep(POLL_S)
+
+    def _count_running(self) -> int:
+        roles = self._assembly.host.roles
+        can_move = len(self._assembly.host.roster.list_members()) > 0
+        return (
+            roles.gateway.running
+            + roles.dispatcher.count_all_running()
+            + roles.keyed.count_running()
+            + int(can_move and roles.keyed.has_tables_to_move())
+        )
+
+    async def _record_stop(self) -> None:
+        parts = self._assembly
+        if self._count_running() or parts.host.has_waiting_homes():
+            self._log.warn("stopped_unclean", running=self._count_running())
+            return
+        with contextlib.suppress(store_exceptions.StoreError):
+            await membership.record_stop(
+                parts.store,
+                self.settings.name,
+                parts.host.roster.incarnation,
+                parts.host.clock.wall(),
+            )
+
+    async def _close(self) -> None:
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._caller_runner.cleanup()
+        await self._assembly.host.network.close()
+        await self._peer_runner.cleanup()
+        await self._assembly.sessions.close()
+
+
+def _exit_superseded() -> None:
+    """End at once: a later process of this host has taken over."""
+    logs.EventLog("service").error("superseded")
+    os._exit(SUPERSEDED_STATUS)
+
+
+async def _listen(application: web.Application, address: str) -> web.AppRunner:
+    runner = web.AppRunner(
+        application,
+        access_log=None,
+        handler_cancellation=True,
+        max_line_size=factory.MAX_HEADER_BYTES,
+        max_field_size=factory.MAX_HEADER_BYTES,
+        shutdown_timeout=CLOSE_TIMEOUT_S,
+    )
+    await runner.setup()
+    host, port = daemon_settings.split_address(address)
+    await web.TCPSite(runner, host, port, backlog=1024).start()
+    return runner
--- /dev/null
+++ b/src/cowslipshift/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Links between hosts and what they carry."""
--- /dev/null
+++ b/src/cowslipshift/peers/credentials.py
@@ -0,0 +1,53 @@
+"""Proof between hosts that they share the operators' secret."""
+
+from __future__ import annotations
+
+import hashlib
+import hmac
+
+from cowslipshift.peers import exceptions
+
+HEADER = "X-Peer-Credential"
+VALID_S = 120
+"""Age and clock difference within which a credential is accepted."""
+
+MIN_SECRET_CHARS = 16
+
+
+def sign_credential(secret: str, sender: str, wall_s: float) -> str:
+    """Build the credential that a host sends with each call.
+
+    Args:
+        secret: The shared secret.
+        sender: Name of the sending host.
+        wall_s: Unix time in seconds.
+    """
+    stamp = str(int(wall_s))
+    return f"{sender}:{stamp}:{_compute_mac(secret, sender, stamp)}"
+
+
+def check_credential(secret: str, credential: str, wall_s: float) -> str:
+    """Check a credential and return the name of the sender.
+
+    Raises:
+        PeerRefusedError: It is missing, forged or too old.
+    """
+    parts = credential.split(":")
+    if len(parts) != 3 or not parts[1].isdecimal():
+        raise exceptions.PeerRefusedError("no valid peer credential was sent")
+    sender, stamp, mac = parts
+    if not hmac.compare_digest(mac, _compute_mac(secret, sender, stamp)):
+        raise exceptions.PeerRefusedError(
+            "the peer credential was made with another secret"
+        )
+    if abs(wall_s - int(stamp)) > VALID_S:
+        raise exceptions.PeerRefusedError(
+            "the peer credential is too old; check the hosts' clocks"
+        )
+    return sender
+
+
+def _compute_mac(secret: str, sender: str, stamp: str) -> str:
+    return hmac.new(
+        secret.encode(), f"{sender}:{stamp}".encode(), hashlib.sha256
+    ).hexdigest()
--- /dev/null
+++ b/src/cowslipshift/peers/exceptions.py
@@ -0,0 +1,29 @@
+"""Errors of the links between hosts."""
+
+from __future__ import annotations
+
+from cowslipshift import exceptions
+
+
+class PeerError(exceptions.CowslipshiftError):
+    """Something between two hosts went wrong."""
+
+    code = "peer_error"
+
+
+class PeerMessageError(PeerError):
+    """A peer sent something that is no message."""
+
+    code = "peer_bad_message"
+
+
+class PeerRefusedError(PeerError):
+    """A peer did not prove that it knows the shared secret."""
+
+    code = "peer_unauthenticated"
+
+
+class PeerUnreachableError(PeerError):
+    """No link to the peer is open."""
+
+    code = "peer_unreachable"
--- /dev/null
+++ b/src/cowslipshift/peers/messages.py
@@ -0,0 +1,212 @@
+"""Typed messages between hosts and their Cap'n Proto codec."""
+
+from __future__ import annotations
+
+import pathlib
+from typing import Any
+
+import capnp
+import msgspec
+
+from cowslipshift.coordination import facts as fact_types
+from cowslipshift.coordination import homes
+from cowslipshift.coordination import shares
+from cowslipshift.peers import exceptions
+
+MAX_MESSAGE_BYTES = 4 * 1024 * 1024
+
+
+class ServiceLoad(msgspec.Struct, frozen=True):
+    """How busy a host's slots of a service are.
+
+    Attributes:
+        usable: Slots that the host may use.
+        in_use: Slots in use.
+        queued: Requests that wait for one.
+    """
+
+    service: str
+    usable: int
+    in_use: int
+    queued: int
+
+
+class Heartbeat(msgspec.Struct, frozen=True, kw_only=True):
+    """Sent on each link at a fixed interval.
+
+    Attributes:
+        sequence: Number of this heartbeat on this link.
+        heard_sequence: Last heartbeat heard on this link.
+        counts_you: Incarnation of the receiver that the sender counts as a
+            member, or 0.
+        revision: Configuration in force at the sender.
+        fact_digest: Digest of the sender's facts.
+        handovers: What the sender gave to the receiver.
+        loads: How busy the sender is.
+    """
+
+    host: str
+    incarnation: int
+    sequence: int
+    heard_sequence: int
+    counts_you: int
+    leaving: bool
+    revision: int
+    fact_digest: int
+    handovers: list[homes.Handover] = []
+    loads: list[ServiceLoad] = []
+
+
+class ConfigurationRequest(msgspec.Struct, frozen=True):
+    """Asks for what came after a revision."""
+
+    revision: int
+    digest: str
+
+
+class ConfigurationOffer(msgspec.Struct, frozen=True):
+    """A newer configuration, as a difference or as a whole document."""
+
+    revision: int
+    difference: bytes
+    document: bytes
+
+
+class Facts(msgspec.Struct, frozen=True):
+    """Facts that the receiver may not know.
+
+    Attributes:
+        digest: Digest of all facts of the sender.
+        wants_reply: Whether the sender lacks facts itself.
+    """
+
+    digest: int
+    facts: list[fact_types.Fact]
+    wants_reply: bool
+
+
+class Wants(msgspec.Struct, frozen=True):
+    """Requests for parts of accounts."""
+
+    wants: list[shares.Want]
+
+
+class Grants(msgspec.Struct, frozen=True):
+    """Answers to `Wants`."""
+
+    grants: list[shares.Grant]
+
+
+class Evidence(msgspec.Struct, frozen=True):
+    """One host's counters of a version move on one route.
+
+    Attributes:
+        move: Id of the move.
+        counts: Counters that only grow.
+    """
+
+    move: str
+    host: str
+    incarnation: int
+    counts: list[int]
+    route: str
+
+
+class Evidences(msgspec.Struct, frozen=True):
+    """Counters of version moves."""
+
+    evidences: list[Evidence]
+
+
+Message = (
+    Heartbeat
+    | ConfigurationRequest
+    | ConfigurationOffer
+    | Facts
+    | Wants
+    | Grants
+    | Evidences
+)
+
+_KINDS: dict[str, type[Any]] = {
+    "heartbeat": Heartbeat,
+    "configurationRequest": ConfigurationRequest,
+    "configurationOffer": ConfigurationOffer,
+    "facts": Facts,
+    "wants": Wants,
+    "grants": Grants,
+    "evidences": Evidences,
+}
+_NAMES = {kind: name for name, kind in _KINDS.items()}
+
+_schema: Any = capnp.load(
+    str(pathlib.Path(__file__).with_name("messages.capnp"))
+)
+
+
+def encode_message(message: Message) -> bytes:
+    """Write a message in packed form."""
+    fields = _to_camel(msgspec.to_builtins(message, builtin_types=(bytes,)))
+    packed: bytes = _schema.Message.new_message(
+        **{_NAMES[type(message)]: fields}
+    ).to_bytes_packed()
+    return packed
+
+
+def decode_message(raw: bytes) -> Message:
+    """Read a message.
+
+    Raises:
+        PeerMessageError: The bytes are no message.
+    """
+    if len(raw) > MAX_MESSAGE_BYTES:
+        raise exceptions.PeerMessageError(
+            f"a message of {len(raw)} bytes is too large"
+        )
+    try:
+        reader = _schema.Message.from_bytes_packed(raw)
+        name = reader.which()
+        fields = _to_snake(reader.to_dict()[str(name)])
+        message: Message = msgspec.convert(fields, _KINDS[str(name)])
+    except (capnp.KjException, msgspec.ValidationError, KeyError) as error:
+        raise exceptions.PeerMessageError(
+            f"a peer sent a malformed message: {error}"
+        ) from error
+    return message
+
+
+def _to_camel(value: Any) -> Any:
+    if isinstance(value, dict):
+        return {_camel(name): _to_camel(item) for name, item in value.items()}
+    if isinstance(value, list):
+        return [_to_camel(item) for item in value]
+    return value
+
+
+def _to_snake(value: Any) -> Any:
+    if isinstance(value, dict):
+        return {_snake(name): _to_snake(item) for name, item in value.items()}
+    if isinstance(value, list):
+        return [_to_snake(item) for item in value]
+    return value
+
+
+_CAMEL: dict[str, str] = {}
+_SNAKE: dict[str, str] = {}
+
+
+def _camel(name: str) -> str:
+    known = _CAMEL.get(name)
+    if known is None:
+        first, *rest = name.split("_")
+        known = _CAMEL[name] = first + "".join(w.title() for w in rest)
+    return known
+
+
+def _snake(name: str) -> str:
+    known = _SNAKE.get(name)
+    if known is None:
+        known = _SNAKE[name] = "".join(
+            f"_{c.lower()}" if c.isupper() else c for c in name
+        )
+    return known
--- /dev/null
+++ b/src/cowslipshift/peers/network.py
@@ -0,0 +1,331 @@
+"""Links to other hosts: one task for each peer, one for each connection."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from typing import Protocol
+from typing import TYPE_CHECKING
+
+import aiohttp
+from aiohttp import web
+
+from cowslipshift.peers import credentials
+from cowslipshift.peers import exceptions
+from cowslipshift.peers import messages
+from cowslipshift.telemetry import logs
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from cowslipshift import clock as clocks
+
+HEARTBEAT_INTERVAL_S = 1.0
+LINK_SILENT_AFTER_S = 3.0
+DIAL_INTERVAL_S = 0.3
+DIAL_TIMEOUT_S = 1.5
+YIELD_S = 1.0
+"""Time that the host with the larger name leaves the other to dial."""
+
+HOST_HEADER = "X-Peer-Host"
+
+
+class LinkHandler(Protocol):
+    """What the links tell and ask their owner."""
+
+    def build_heartbeat(
+        self, host: str, sequence: int, heard_sequence: int
+    ) -> messages.Heartbeat:
+        """Build the next heartbeat for a host."""
+
+    def handle_message(
+        self, host: str, message: messages.Message, sent_s: float | None
+    ) -> None:
+        """Take a message.
+
+        Args:
+            host: The sender.
+            message: The message.
+            sent_s: For heartbeats, when the one it acknowledges was sent.
+        """
+
+    def note_refused(self, host: str) -> None:
+        """Learn that a host's address refuses connections."""
+
+    def note_unanswered(self, host: str) -> None:
+        """Learn that a connection attempt proved nothing."""
+
+    def note_unlinked(self, host: str) -> None:
+        """Learn that the link to a host is gone."""
+
+
+class Link:
+    """One open connection to another host."""
+
+    def __init__(
+        self,
+        host: str,
+        socket: aiohttp.ClientWebSocketResponse | web.WebSocketResponse,
+        dialled_by: str,
+        network: Network,
+    ) -> None:
+        self.host = host
+        self.dialled_by = dialled_by
+        self._socket = socket
+        self._network = network
+        self._outbox: asyncio.Queue[bytes] = asyncio.Queue(maxsize=1000)
+        self._sequence = 0
+        self._heard_sequence = 0
+        self._sent_s: dict[int, float] = {}
+        self._heard_s = network.clock.now()
+
+    def send(self, message: messages.Message) -> bool:
+        """Queue a message; return whether there was room."""
+        try:
+            self._outbox.put_nowait(messages.encode_message(message))
+        except asyncio.QueueFull:
+            return False
+        return True
+
+    def send_heartbeat(self) -> None:
+        """Queue a heartbeat right now."""
+        now = self._network.clock.now()
+        self._sequence += 1
+        self._sent_s[self._sequence] = now
+        self.send(
+            self._network.handler.build_heartbeat(
+                self.host, self._sequence, self._heard_sequence
+            )
+        )
+
+    async def run(self) -> None:
+        """Serve the link until it closes or goes silent."""
+        sender = asyncio.create_task(self._run_sender())
+        beats = asyncio.create_task(self._run_heartbeats())
+        try:
+            await self._run_receiver()
+        finally:
+            sender.cancel()
+            beats.cancel()
+            await asyncio.gather(sender, beats, return_exceptions=True)
+            with contextlib.suppress(Exception):
+                async with asyncio.timeout(0.2):
+                    await self._socket.close()
+
+    def abort(self) -> None:
+        """Stop serving the link."""
+        self._heard_s = float("-inf")
+        asyncio.ensure_future(_close_quietly(self._socket))
+
+    async def _run_sender(self) -> None:
+        while True:
+            raw = await self._outbox.get()
+            self._network.count_bytes("out", len(raw))
+            await self._socket.send_bytes(raw)
+
+    async def _run_heartbeats(self) -> None:
+        while True:
+            self.send_heartbeat()
+            await asyncio.sleep(HEARTBEAT_INTERVAL_S)
+
+    async def _run_receiver(self) -> None:
+        while True:
+            now = self._network.clock.now()
+            left_s = self._heard_s + LINK_SILENT_AFTER_S - now
+            if left_s <= 0:
+                return
+            try:
+                async with asyncio.timeout(left_s):
+                    frame = await self._socket.receive()
+            except TimeoutError:
+                return
+            if frame.type is not aiohttp.WSMsgType.BINARY:
+                return
+            self._heard_s = self._network.clock.now()
+            self._network.count_bytes("in", len(frame.data))
+            self._take(messages.decode_message(frame.data))
+
+    def _take(self, message: messages.Message) -> None:
+        sent_s = None
+        if isinstance(message, messages.Heartbeat):
+            self._heard_sequence = message.sequence
+            sent_s = self._sent_s.pop(message.heard_sequence, None)
+            for sequence in [
+                s for s in self._sent_s if s < message.heard_sequence
+            ]:
+                del self._sent_s[sequence]
+        self._network.handler.handle_message(self.host, message, sent_s)
+
+
+class Network:
+    """The links of one host.
+
+    Args:
+        host: Name of this host.
+        secret: The hosts' shared secret.
+        clock: Source of the present time.
+        session: HTTP session used to dial.
+        handler: What links tell and ask.
+        on_bytes: Told direction and size of each message.
+    """
+
+    def __init__(
+        self,
+        host: str,
+        secret: str,
+        clock: clocks.Clock,
+        session: aiohttp.ClientSession,
+        handler: LinkHandler,
+        on_bytes: Callable[[str, int], None],
+    ) -> None:
+        self.host = host
+        self.clock = clock
+        self.handler = handler
+        self.count_bytes = on_bytes
+        self._secret = secret
+        self._session = session
+        self._log = logs.EventLog("network")
+        self._links: dict[str, Link] = {}
+        self._addresses: dict[str, str] = {}
+        self._dialers: dict[str, asyncio.Task[None]] = {}
+
+    def set_peers(self, addresses: dict[str, str]) -> None:
+        """Keep a link to each of these hosts.
+
+        Args:
+            addresses: Peer address by host; names that start with ``@``
+                stand for hosts whose name is not known yet.
+        """
+        for name in self._dialers.keys() - addresses.keys():
+            self._dialers.pop(name).cancel()
+        self._addresses = dict(addresses)
+        for name in addresses.keys() - self._dialers.keys():
+            self._dialers[name] = asyncio.create_task(self._run_peer(name))
+
+    def send(self, host: str, message: messages.Message) -> bool:
+        """Send a message; return whether a link is open."""
+        link = self._links.get(host)
+        return link is not None and link.send(message)
+
+    def broadcast(
+        self, message: messages.Message, but: str | None = None
+    ) -> None:
+        """Send a message on all links but one."""
+        for host, link in list(self._links.items()):
+            if host != but:
+                link.send(message)
+
+    def send_heartbeat(self, host: str) -> None:
+        """Send a heartbeat out of turn."""
+        link = self._links.get(host)
+        if link is not None:
+            link.send_heartbeat()
+
+    def is_linked(self, host: str) -> bool:
+        """Tell whether a link to a host is open."""
+        return host in self._links
+
+    def list_linked(self) -> list[str]:
+        """Return the hosts with an open link."""
+        return sorted(self._links)
+
+    async def close(self) -> None:
+        """Close all links."""
+        tasks = list(self._dialers.values())
+        for task in tasks:
+            task.cancel()
+        for link in list(self._links.values()):
+            link.abort()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def accept_link(self, request: web.Request) -> web.StreamResponse:
+        """Serve a link that another host dialled."""
+        try:
+            name = credentials.check_credential(
+                self._secret,
+                request.headers.get(credentials.HEADER, ""),
+                self.clock.wall(),
+            )
+        except exceptions.PeerRefusedError as error:
+            self._log.warn(
+                "peer_refused", address=request.remote, reason=error
+            )
+            return web.Response(status=401, text=str(error))
+        socket = web.WebSocketResponse(
+            max_msg_size=messages.MAX_MESSAGE_BYTES, compress=False
+        )
+        socket.headers[HOST_HEADER] = self.host
+        await socket.prepare(request)
+        await self._run_link(Link(name, socket, name, self))
+        return socket
+
+    async def _run_peer(self, name: str) -> None:
+        while True:
+            if name not in self._links and not name.startswith("@"):
+                if name < self.host:
+                    await asyncio.sleep(YIELD_S)
+                if name not in self._links:
+                    await self._dial(name)
+            elif name.startswith("@"):
+                await self._dial(name)
+                if self._links:
+                    await asyncio.sleep(LINK_SILENT_AFTER_S)
+            await asyncio.sleep(DIAL_INTERVAL_S)
+
+    async def _dial(self, name: str) -> None:
+        address = self._addresses[name]
+        try:
+            async with asyncio.timeout(DIAL_TIMEOUT_S):
+                socket = await self._session.ws_connect(
+                    f"http://{address}/peer/link",
+                    headers={
+                        credentials.HEADER: credentials.sign_credential(
+                            self._secret, self.host, self.clock.wall()
+                        )
+                    },
+                    max_msg_size=messages.MAX_MESSAGE_BYTES,
+                )
+        except aiohttp.ClientConnectorError as error:
+            if isinstance(error.os_error, ConnectionRefusedError):
+                self.handler.note_refused(name)
+            else:
+                self.handler.note_unanswered(name)
+            return
+        except (aiohttp.ClientError, OSError, TimeoutError):
+            self.handler.note_unanswered(name)
+            return
+        peer = socket._response.headers.get(HOST_HEADER, name)
+        if peer == self.host or (name.startswith("@") and peer in self._links):
+            await _close_quietly(socket)
+            return
+        await self._run_link(Link(peer, socket, self.host, self))
+
+    async def _run_link(self, link: Link) -> None:
+        known = self._links.get(link.host)
+        if known is not None:
+            smaller = min(self.host, link.host)
+            if known.dialled_by == smaller != link.dialled_by:
+                await _close_quietly(link._socket)
+                return
+            known.abort()
+        self._links[link.host] = link
+        self._log.info("linked", peer=link.host, dialled_by=link.dialled_by)
+        try:
+            await link.run()
+        except exceptions.PeerMessageError as error:
+            self._log.warn("peer_message", peer=link.host, reason=error)
+        except (aiohttp.ClientError, ConnectionError):
+            pass
+        finally:
+            if self._links.get(link.host) is link:
+                del self._links[link.host]
+                self._log.info("unlinked", peer=link.host)
+                self.handler.note_unlinked(link.host)
+
+
+async def _close_quietly(
+    socket: aiohttp.ClientWebSocketResponse | web.WebSocketResponse,
+) -> None:
+    with contextlib.suppress(Exception):
+        async with asyncio.timeout(0.5):
+            await socket.close()
--- /dev/null
+++ b/src/cowslipshift/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Look-ups and the choice of region, data centre and host."""
--- /dev/null
+++ b/src/cowslipshift/routing/directory.py
@@ -0,0 +1,201 @@
+"""Answers to callers who ask which host to use."""
+
+from __future__ import annotations
+
+import collections
+from typing import Protocol
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from cowslipshift.coordination import hashing
+from cowslipshift.routing import exceptions
+from cowslipshift.telemetry import logs
+from cowslipshift.world import blocks
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from cowslipshift.world import atlas as atlases
+
+MAX_HOSTS = 4
+MAX_CACHED = 50_000
+CACHE_S = 1.0
+"""Age from which an answer is computed anew, so that shifts show."""
+
+
+class HostEntry(msgspec.Struct, frozen=True):
+    """One host of an answer."""
+
+    name: str
+    url: str
+    region: str
+    data_centre: str
+
+
+class Answer(msgspec.Struct, frozen=True):
+    """The answer to a look-up.
+
+    Attributes:
+        service: The service that was asked for.
+        hosts: Hosts to use, best first.
+        lifetime_s: How long the answer may be cached.
+        home: Data centre to name in idempotency keys.
+        revision: Configuration that the answer comes from.
+    """
+
+    service: str
+    hosts: list[HostEntry]
+    lifetime_s: float
+    home: str
+    revision: int
+
+
+class HostView(Protocol):
+    """What is known of the hosts."""
+
+    def is_leaving(self, host: str) -> bool:
+        """Tell whether a host leaves or has left."""
+
+    def is_reachable(self, host: str) -> bool:
+        """Tell whether a host is linked, or is this host."""
+
+
+class Directory:
+    """Computes answers and keeps them for a short while.
+
+    Args:
+        region: Region of this host, used for blocks that are not listed.
+        view: What is known of the hosts.
+        order_regions: Returns regions for a service, block and origin, in
+            order of preference.
+    """
+
+    def __init__(
+        self,
+        region: str,
+        view: HostView,
+        order_regions: Callable[
+            [atlases.Atlas, str, str, str, float], list[str]
+        ],
+    ) -> None:
+        self._region = region
+        self._view = view
+        self._order_regions = order_regions
+        self._log = logs.EventLog("directory")
+        self._atlas: atlases.Atlas | None = None
+        self._cache: collections.OrderedDict[
+            tuple[str, str], tuple[float, bytes]
+        ] = collections.OrderedDict()
+
+    def apply(self, atlas: atlases.Atlas) -> None:
+        """Follow a new configuration."""
+        self._atlas = atlas
+        self._cache.clear()
+
+    def forget_answers(self) -> None:
+        """Compute all answers anew, since what is known of hosts changed."""
+        self._cache.clear()
+
+    def answer(
+        self, service: str, block: str, now: float, wall_s: float
+    ) -> bytes:
+        """Return the answer as JSON.
+
+        Args:
+            service: The service.
+            block: Client address or block in CIDR notation.
+            now: Monotonic time in seconds.
+            wall_s: Unix time in seconds.
+
+        Raises:
+            LookupRefusedError: The service or block is not known, or there
+                is no configuration yet.
+        """
+        known = self._cache.get((service, block))
+        if known is not None and now < known[0]:
+            return known[1]
+        raw = msgspec.json.encode(self._compute(service, block, wall_s))
+        self._cache[service, block] = (now + CACHE_S, raw)
+        if len(self._cache) > MAX_CACHED:
+            self._cache.popitem(last=False)
+        return raw
+
+    def _compute(self, service: str, block: str, wall_s: float) -> Answer:
+        atlas = self._atlas
+        if atlas is None:
+            raise exceptions.LookupRefusedError(
+                503, "no_configuration", "this host has no configuration yet"
+            )
+        if atlas.services.find_service(service) is None:
+            raise exceptions.LookupRefusedError(
+                404, "service_unknown", f"there is no service '{service}'"
+            )
+        try:
+            block = blocks.name_block(block.partition("/")[0])
+            origin = atlas.blocks.find_region(block) or self._region
+        except ValueError as error:
+            raise exceptions.LookupRefusedError(
+                400, "block_malformed", str(error)
+            ) from error
+        names = self._rank_hosts(atlas, service, block, origin, wall_s)
+        lifetime_s = atlas.settings.resolve(
+            "lookup_lifetime_s", wall_s, service=service, region=origin
+        )
+        answer = Answer(
+            service=service,
+            hosts=[_describe_host(atlas, name) for name in names],
+            lifetime_s=lifetime_s,
+            home=_choose_home(atlas, service, names),
+            revision=atlas.revision,
+        )
+        self._log.info(
+            "lookup",
+            service=service,
+            block=block,
+            origin=origin,
+            hosts=",".join(names),
+        )
+        return answer
+
+    def _rank_hosts(
+        self,
+        atlas: atlases.Atlas,
+        service: str,
+        block: str,
+        origin: str,
+        wall_s: float,
+    ) -> list[str]:
+        reachable: list[str] = []
+        others: list[str] = []
+        for region in self._order_regions(
+            atlas, service, block, origin, wall_s
+        ):
+            hosts = [
+                host
+                for centre in atlas.fleet.regions[region].data_centres
+                for host in centre.hosts
+                if not self._view.is_leaving(host)
+            ]
+            for host in hashing.rank_members(f"{service}|{block}", hosts):
+                if self._view.is_reachable(host):
+                    reachable.append(host)
+                else:
+                    others.append(host)
+        return (reachable + others)[:MAX_HOSTS]
+
+
+def _describe_host(atlas: atlases.Atlas, name: str) -> HostEntry:
+    entry = atlas.fleet.hosts[name]
+    region = atlas.fleet.data_centres[entry.data_centre].region
+    return HostEntry(name, entry.url, region, entry.data_centre)
+
+
+def _choose_home(atlas: atlases.Atlas, service: str, hosts: list[str]) -> str:
+    """Return the data centre of the first host that serves the service."""
+    centres = atlas.fleet.list_centres(service)
+    for host in hosts:
+        centre = atlas.fleet.hosts[host].data_centre
+        if centre in centres:
+            return centre
+    return centres[0] if centres else ""
--- /dev/null
+++ b/src/cowslipshift/routing/exceptions.py
@@ -0,0 +1,17 @@
+"""Errors of look-ups."""
+
+from __future__ import annotations
+
+from cowslipshift import exceptions
+
+
+class LookupRefusedError(exceptions.CowslipshiftError):
+    """A look-up has no answer.
+
+    Attributes:
+        status: HTTP status code.
+    """
+
+    def __init__(self, status: int, code: str, message: str) -> None:
+        super().__init__(message, code)
+        self.status = status
--- /dev/null
+++ b/src/cowslipshift/routing/selection.py
@@ -0,0 +1,137 @@
+"""The choice of region, data centre and host for a request."""
+
+from __future__ import annotations
+
+import random
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from cowslipshift.serving import calls
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Iterator
+
+    from cowslipshift.peers import messages
+    from cowslipshift.routing import loads
+    from cowslipshift.world import atlas as atlases
+
+
+class Candidate(msgspec.Struct, frozen=True):
+    """A host that may run a request.
+
+    Attributes:
+        host: The host.
+        region: Its region.
+        scope: How far the host may pass the request on.
+        has_room: Whether it reported a free slot.
+    """
+
+    host: str
+    region: str
+    scope: calls.Scope
+    has_room: bool
+
+
+class Selector:
+    """Orders the hosts that may run a request.
+
+    Hosts with a free slot come first, of the nearest region first; this
+    host before others of its data centre, since that saves a hop. Hosts
+    without a free slot follow, nearest region first, by how many requests
+    they have for each slot.
+
+    Args:
+        host: Name of this host.
+        data_centre: Its data centre.
+        board: Loads of other hosts.
+        measure_own: Returns this host's load of a service.
+        seed: Seed of the tie-breaking random numbers.
+    """
+
+    def __init__(
+        self,
+        host: str,
+        data_centre: str,
+        board: loads.LoadBoard,
+        measure_own: Callable[[str], messages.ServiceLoad],
+        seed: int,
+    ) -> None:
+        self._host = host
+        self._data_centre = data_centre
+        self._board = board
+        self._measure_own = measure_own
+        self._random = random.Random(seed)
+
+    def list_candidates(
+        self,
+        atlas: atlases.Atlas,
+        service: str,
+        scope: calls.Scope,
+        regions: list[str],
+        now: float,
+    ) -> list[Candidate]:
+        """Return the hosts to try, best first.
+
+        Args:
+            atlas: The configuration in force.
+            service: The service.
+            scope: How far the request may still be passed on.
+            regions: Regions in order of preference.
+            now: Monotonic time in seconds.
+        """
+        if scope is calls.Scope.HOST:
+            own = self._measure_own(service)
+            free = own.usable > own.in_use + own.queued
+            return [self._build(self._host, "", free)]
+        with_room: list[Candidate] = []
+        without: list[Candidate] = []
+        for region in regions:
+            found = list(self._rank_region(atlas, service, scope, region, now))
+            with_room.extend(c for c in found if c.has_room)
+            without.extend(c for c in found if not c.has_room)
+        return with_room + without
+
+    def _rank_region(
+        self,
+        atlas: atlases.Atlas,
+        service: str,
+        scope: calls.Scope,
+        region: str,
+        now: float,
+    ) -> Iterator[Candidate]:
+        scored = []
+        for centre in atlas.fleet.regions[region].data_centres:
+            near = centre.name == self._data_centre
+            if scope is calls.Scope.CENTRE and not near:
+                continue
+            for host in centre.hosts:
+                score = self._score(host, service, near, now)
+                if score is not None:
+                    scored.append((score, host))
+        scored.sort()
+        for (rank, _, _), host in scored:
+            yield self._build(host, region, rank < 2)
+
+    def _score(
+        self, host: str, service: str, near: bool, now: float
+    ) -> tuple[int, float, float] | None:
+        """Return a rank (0 own and free, 1 free, 2 busy) and a tie break."""
+        tie = self._random.random()
+        if host == self._host:
+            own = self._measure_own(service)
+            if own.usable == 0:
+                return None
+            if own.in_use + own.queued < own.usable:
+                return 0, 0.0, tie
+            return 2, (own.in_use + own.queued) / own.usable, tie
+        load = self._board.get_load(host, service, now)
+        if load is None:
+            return None
+        distance = 0.0 if near else 0.25
+        rank = 1 if load.free > 0 else 2
+        return rank, load.pressure + distance, tie
+
+    def _build(self, host: str, region: str, has_room: bool) -> Candidate:
+        return Candidate(host, region, calls.Scope.HOST, has_room)
--- /dev/null
+++ b/src/cowslipshift/serving/__init__.py
@@ -0,0 +1,1 @@
+"""The request path from callers to backend servers."""
--- /dev/null
+++ b/src/cowslipshift/serving/backends.py
@@ -0,0 +1,124 @@
+"""The backend servers that this host owns, judged by real outcomes."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from cowslipshift.config import model
+
+EJECT_AFTER_FAILURES = 5
+EJECT_MIN_S = 2.0
+EJECT_MAX_S = 30.0
+EJECT_MAX_PART = 0.34
+"""Largest part of a service's servers that may be ejected here at once."""
+
+DRAIN_RECHECK_S = 5.0
+LATENCY_WEIGHT = 0.1
+CANCEL_GRACE_S = 0.25
+"""Time in which a backend server notices a closed connection."""
+
+
+class Backend:
+    """One backend server as seen by the host that owns its slots.
+
+    Attributes:
+        running: Requests in flight from this host.
+        latency_s: Smoothed time to answer.
+        ejected_until_s: No work before this moment.
+        warm_from_s: When its ramp began; ``None`` if it is warm.
+    """
+
+    __slots__ = (
+        "_eject_s",
+        "_failures",
+        "_held",
+        "draining_until_s",
+        "ejected_until_s",
+        "latency_s",
+        "running",
+        "server",
+        "warm_from_s",
+    )
+
+    def __init__(
+        self, server: model.Server, now: float, is_cold: bool
+    ) -> None:
+        self.server = server
+        self.running = 0
+        self.latency_s = 0.0
+        self.ejected_until_s = 0.0
+        self.draining_until_s = 0.0
+        self.warm_from_s: float | None = now if is_cold else None
+        self._failures = 0
+        self._eject_s = EJECT_MIN_S
+        self._held: list[float] = []
+
+    def count_used(self, now: float) -> int:
+        """Return the slots in use, counting those of lost requests."""
+        if self._held:
+            self._held = [until for until in self._held if until > now]
+        return self.running + len(self._held)
+
+    def hold(self, until_s: float) -> None:
+        """Keep a slot back for a request that may still be running."""
+        self._held.append(until_s)
+
+    def is_out(self, now: float) -> bool:
+        """Tell whether the server gets no work at all."""
+        return (
+            self.server.state == "leaving"
+            or now < self.draining_until_s
+            or now < self.ejected_until_s
+        )
+
+    def limit_slots(self, usable: int, now: float, ramp_s: float) -> int:
+        """Return the slots to use, given how warm the server is.
+
+        A server that was ejected gets one request at a time at first.
+        """
+        if self.is_out(now):
+            return 0
+        if self.warm_from_s is None or ramp_s <= 0.0:
+            return usable
+        part = (now - self.warm_from_s) / ramp_s
+        if part >= 1.0:
+            self.warm_from_s = None
+            return usable
+        return min(usable, max(1, int(usable * part)))
+
+    def note_answer(self, latency_s: float, failed: bool, now: float) -> None:
+        """Learn from an answer."""
+        weight = LATENCY_WEIGHT if self.latency_s else 1.0
+        self.latency_s += weight * (latency_s - self.latency_s)
+        if failed:
+            self._failures += 1
+            return
+        self._failures = 0
+        self._eject_s = EJECT_MIN_S
+
+    def note_failure(self) -> None:
+        """Learn from a request that got no answer."""
+        self._failures += 1
+
+    def note_draining(self, now: float) -> None:
+        """Learn that the server takes no new work."""
+        self.draining_until_s = now + DRAIN_RECHECK_S
+        self.warm_from_s = now + DRAIN_RECHECK_S
+
+    def should_eject(self) -> bool:
+        """Tell whether enough failed in a row."""
+        return self._failures >= EJECT_AFTER_FAILURES
+
+    def eject(self, now: float) -> float:
+        """Stop sending work for a while, longer each time.
+
+        Returns:
+            The seconds.
+        """
+        lasts_s = self._eject_s
+        self.ejected_until_s = now + lasts_s
+        self.warm_from_s = self.ejected_until_s
+        self._failures = EJECT_AFTER_FAILURES - 1
+        self._eject_s = min(EJECT_MAX_S, self._eject_s * 2)
+        return lasts_s
--- /dev/null
+++ b/src/cowslipshift/serving/forwarding.py
@@ -0,0 +1,242 @@
+"""Passing requests to other hosts."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from typing import TYPE_CHECKING
+import uuid
+
+import aiohttp
+import msgspec
+import yarl
+
+from cowslipshift.coordination import attempts
+from cowslipshift.peers import credentials
+from cowslipshift.serving import calls
+from cowslipshift.serving import refusals
+from cowslipshift.serving import wire
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from cowslipshift import clock as clocks
+    from cowslipshift.peers import messages
+    from cowslipshift.serving import transport
+
+RECALL_TIMEOUT_S = 1.0
+EAGER_BODY_BYTES = 65_536
+
+
+class LostForwardError(Exception):
+    """A forwarded request got no answer.
+
+    Attributes:
+        not_run: Whether the other host vouched that it never runs.
+    """
+
+    def __init__(self, message: str, not_run: bool) -> None:
+        super().__init__(message)
+        self.not_run = not_run
+
+
+class Forwarder:
+    """Sends requests to other hosts over HTTP.
+
+    Args:
+        host: Name of this host.
+        secret: The hosts' shared secret.
+        clock: Source of the present time.
+        sessions: HTTP sessions.
+        find_address: Returns a host's peer address, or ``None``.
+        find_incarnation: Returns the process that is meant, or 0 for any.
+    """
+
+    def __init__(
+        self,
+        host: str,
+        secret: str,
+        clock: clocks.Clock,
+        sessions: transport.Sessions,
+        find_address: Callable[[str], str | None],
+        find_incarnation: Callable[[str], int],
+    ) -> None:
+        self._host = host
+        self._secret = secret
+        self._clock = clock
+        self._sessions = sessions
+        self._find_address = find_address
+        self._find_incarnation = find_incarnation
+        self._load_listeners: list[
+            Callable[[str, messages.ServiceLoad], None]
+        ] = []
+
+    def add_load_listener(
+        self, listener: Callable[[str, messages.ServiceLoad], None]
+    ) -> None:
+        """Tell a listener of loads that come with answers."""
+        self._load_listeners.append(listener)
+
+    async def forward(
+        self,
+        call: calls.Call,
+        target: str,
+        scope: calls.Scope,
+        purpose: str = wire.PURPOSE_RUN,
+    ) -> calls.Reply:
+        """Pass a request on and return the answer.
+
+        Raises:
+            Refusal: The other host refused it.
+            LostForwardError: No answer came.
+        """
+        address = self._find_address(target)
+        if address is None:
+            raise LostForwardError(f"host {target} has no address", True)
+        attempt = uuid.uuid4().hex
+        sent_s = self._clock.now()
+        remaining_s = call.deadline_s - sent_s
+        if remaining_s <= 0.0:
+            raise refusals.refuse_late()
+        stack = contextlib.AsyncExitStack()
+        try:
+            response = await self._send(
+                call, target, address, scope, purpose, attempt, remaining_s
+            )
+        except aiohttp.ClientConnectorError as error:
+            raise LostForwardError(str(error), True) from error
+        except (aiohttp.ClientError, OSError, TimeoutError) as error:
+            not_run = await self._recall(address, attempt, sent_s, call)
+            raise LostForwardError(repr(error), not_run) from error
+        stack.callback(_close_response, response)
+        self._note_load(target, call.service, response)
+        return await self._read_reply(response, stack)
+
+    async def transfer_outcomes(
+        self, target: str, transfer: wire.OutcomeTransfer
+    ) -> bool:
+        """Send a bucket of outcomes to its new home.
+
+        Returns:
+            Whether the new home took it.
+        """
+        address = self._find_address(target)
+        if address is None:
+            return False
+        try:
+            async with (
+                asyncio.timeout(RECALL_TIMEOUT_S * 2),
+                self._sessions.fresh.post(
+                    f"http://{address}/peer/outcomes",
+                    data=msgspec.json.encode(transfer),
+                    headers=self._sign(),
+                ) as response,
+            ):
+                return response.status == 200
+        except (aiohttp.ClientError, OSError, TimeoutError):
+            return False
+
+    def _sign(self) -> dict[str, str]:
+        credential = credentials.sign_credential(
+            self._secret, self._host, self._clock.wall()
+        )
+        return {credentials.HEADER: credential}
+
+    async def _send(
+        self,
+        call: calls.Call,
+        target: str,
+        address: str,
+        scope: calls.Scope,
+        purpose: str,
+        attempt: str,
+        remaining_s: float,
+    ) -> aiohttp.ClientResponse:
+        headers = wire.build_headers(
+            call,
+            remaining_s=remaining_s,
+            purpose=purpose,
+            scope=scope,
+            attempt=attempt,
+            incarnation=self._find_incarnation(target),
+        )
+        headers.update(self._sign())
+        url = f"http://{address}/peer/forward/{call.service}{call.path}"
+        session = (
+            self._sessions.pooled if call.idempotent else self._sessions.fresh
+        )
+        async with asyncio.timeout(remaining_s):
+            return await session.request(
+                call.method,
+                yarl.URL(url, encoded=True),
+                headers=headers,
+                data=call.body.open(),
+                allow_redirects=False,
+            )
+
+    async def _read_reply(
+        self,
+        response: aiohttp.ClientResponse,
+        stack: contextlib.AsyncExitStack,
+    ) -> calls.Reply:
+        result = response.headers.get(wire.RESULT)
+        if result != wire.RESULT_ANSWERED:
+            raw = await response.read()
+            await stack.aclose()
+            raise refusals.decode_refusal(response.status, raw)
+        reply = calls.Reply(
+            response.status,
+            [
+                (name, value)
+                for name, value in calls.copy_headers(response)
+                if not name.startswith("X-Forward-")
+            ],
+            response=response,
+            stack=stack,
+            server=response.headers.get(wire.SERVER, ""),
+        )
+        if reply.length is not None and reply.length <= EAGER_BODY_BYTES:
+            try:
+                await reply.read()
+            except (aiohttp.ClientError, OSError, TimeoutError) as error:
+                raise LostForwardError(repr(error), False) from error
+        return reply
+
+    async def _recall(
+        self, address: str, attempt: str, sent_s: float, call: calls.Call
+    ) -> bool:
+        """Take an attempt back; return whether it certainly never runs."""
+        if call.idempotent:
+            return False
+        request = wire.RecallRequest(attempt, self._clock.now() - sent_s)
+        try:
+            async with (
+                asyncio.timeout(RECALL_TIMEOUT_S),
+                self._sessions.fresh.post(
+                    f"http://{address}/peer/recall",
+                    data=msgspec.json.encode(request),
+                    headers=self._sign(),
+                ) as response,
+            ):
+                raw = await response.read()
+                answer = msgspec.json.decode(raw, type=wire.RecallAnswer)
+        except (aiohttp.ClientError, OSError, TimeoutError):
+            return False
+        except msgspec.DecodeError:
+            return False
+        return answer.recall == attempts.Recall.NOT_STARTED.value
+
+    def _note_load(
+        self, target: str, service: str, response: aiohttp.ClientResponse
+    ) -> None:
+        load = wire.parse_load(service, response.headers.get(wire.LOAD, ""))
+        if load is not None:
+            for listener in self._load_listeners:
+                listener(target, load)
+
+
+def _close_response(response: aiohttp.ClientResponse) -> None:
+    if response.content.at_eof():
+        response.release()
+    else:
+        response.close()
--- /dev/null
+++ b/src/cowslipshift/serving/peerapi.py
@@ -0,0 +1,229 @@
+"""The hosts' HTTP interface to one another."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from aiohttp import web
+import msgspec
+
+from cowslipshift.peers import credentials
+from cowslipshift.peers import exceptions as peer_exceptions
+from cowslipshift.serving import calls
+from cowslipshift.serving import refusals
+from cowslipshift.serving import wire
+from cowslipshift.telemetry import logs
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+
+    from cowslipshift import clock as clocks
+    from cowslipshift.coordination import attempts
+    from cowslipshift.peers import network as networks
+    from cowslipshift.serving import dispatcher as dispatchers
+    from cowslipshift.serving import keyed as keyed_calls
+    from cowslipshift.serving import router as routers
+
+FORWARD_PREFIX = "/peer/forward/"
+MAX_TRANSFER_BYTES = 64 * 1024 * 1024
+
+
+class PeerApi:
+    """Answers forwarded requests, recalls and transfers of outcomes.
+
+    Args:
+        secret: The hosts' shared secret.
+        clock: Source of the present time.
+        network: The links, which share the listener.
+        router: Runs requests within the data centre.
+        dispatcher: Runs requests on this host's slots.
+        keyed: Home of idempotency keys.
+        book: Attempts that came and those taken back.
+        get_incarnation: Returns the number of this process.
+    """
+
+    def __init__(
+        self,
+        secret: str,
+        clock: clocks.Clock,
+        network: networks.Network,
+        router: routers.Router,
+        dispatcher: dispatchers.Dispatcher,
+        keyed: keyed_calls.KeyedCalls,
+        book: attempts.AttemptBook,
+        get_incarnation: Callable[[], int],
+    ) -> None:
+        self._secret = secret
+        self._clock = clock
+        self._network = network
+        self._router = router
+        self._dispatcher = dispatcher
+        self._keyed = keyed
+        self._book = book
+        self._get_incarnation = get_incarnation
+        self._log = logs.EventLog("peerapi")
+
+    def build_application(self) -> web.Application:
+        """Return the HTTP application of the peer listener."""
+        application = web.Application(
+            client_max_size=MAX_TRANSFER_BYTES,
+            middlewares=[self._authenticate],
+        )
+        router = application.router
+        router.add_get("/peer/link", self._network.accept_link)
+        router.add_post("/peer/recall", self._handle_recall)
+        router.add_post("/peer/outcomes", self._handle_outcomes)
+        router.add_route(
+            "*", FORWARD_PREFIX + "{service}{path:.*}", self._handle_forward
+        )
+        return application
+
+    @web.middleware
+    async def _authenticate(
+        self,
+        request: web.Request,
+        handler: Callable[[web.Request], Awaitable[web.StreamResponse]],
+    ) -> web.StreamResponse:
+        try:
+            credentials.check_credential(
+                self._secret,
+                request.headers.get(credentials.HEADER, ""),
+                self._clock.wall(),
+            )
+        except peer_exceptions.PeerRefusedError as error:
+            self._log.warn(
+                "peer_refused", address=request.remote, reason=error
+            )
+            return web.Response(status=401, text=str(error))
+        return await handler(request)
+
+    async def _handle_forward(
+        self, request: web.Request
+    ) -> web.StreamResponse:
+        service = request.match_info["service"]
+        try:
+            call = self._parse_call(request, service)
+            reply = await self._run(request, call)
+        except refusals.Refusal as refusal:
+            return web.Response(
+                status=refusal.status,
+                body=refusals.encode_refusal(refusal),
+                headers=self._describe(service, wire.RESULT_REFUSED),
+            )
+        headers = self._describe(service, wire.RESULT_ANSWERED)
+        headers[wire.SERVER] = reply.server
+        return await _send_reply(request, reply, headers)
+
+    def _parse_call(self, request: web.Request, service: str) -> calls.Call:
+        path = request.raw_path[len(FORWARD_PREFIX + service) :]
+        return wire.parse_call(
+            request.headers,
+            service=service,
+            method=request.method,
+            path=path,
+            body=calls.Body(None, request.content, b"", request.content_length)
+            if request.body_exists
+            else calls.Body(b""),
+            now=self._clock.now(),
+        )
+
+    async def _run(
+        self, request: web.Request, call: calls.Call
+    ) -> calls.Reply:
+        """Run a forwarded request that was not taken back.
+
+        A request that this host certainly did not run stays marked, so
+        that it cannot start should it arrive once more.
+        """
+        meant = int(request.headers.get(wire.INCARNATION, "0"))
+        if meant not in (0, self._get_incarnation()):
+            raise refusals.refuse_busy("the process that was meant is gone")
+        if not self._book.try_start(call.attempt, self._clock.now()):
+            if self._book.was_started(call.attempt):
+                raise refusals.refuse_unknown("this attempt came twice")
+            raise refusals.refuse_busy("this attempt was taken back")
+        if request.body_exists and (
+            request.content_length is not None
+            and request.content_length <= calls.REPLAY_LIMIT_BYTES
+            or not call.idempotent
+        ):
+            call.body = calls.Body(await request.read())
+        try:
+            if request.headers.get(wire.PURPOSE) == wire.PURPOSE_KEYED:
+                return await self._keyed.run_at_home(call)
+            if call.scope is calls.Scope.HOST:
+                return await self._dispatcher.run(call)
+            return await self._router.run(call)
+        except refusals.Refusal as refusal:
+            if refusal.not_run:
+                self._book.undo_start(call.attempt, self._clock.now())
+            raise
+
+    def _describe(self, service: str, result: str) -> dict[str, str]:
+        load = self._dispatcher.measure_load(service)
+        return {wire.RESULT: result, wire.LOAD: wire.format_load(load)}
+
+    async def _handle_recall(self, request: web.Request) -> web.Response:
+        try:
+            recall = msgspec.json.decode(
+                await request.read(), type=wire.RecallRequest
+            )
+        except msgspec.DecodeError as error:
+            return web.Response(status=400, text=str(error))
+        answer = self._book.recall(
+            recall.attempt, recall.age_s, self._clock.now()
+        )
+        self._log.info("recall", attempt=recall.attempt, answer=answer.value)
+        return web.Response(
+            body=msgspec.json.encode(wire.RecallAnswer(answer.value))
+        )
+
+    async def _handle_outcomes(self, request: web.Request) -> web.Response:
+        try:
+            transfer = msgspec.json.decode(
+                await request.read(), type=wire.OutcomeTransfer
+            )
+        except msgspec.DecodeError as error:
+            return web.Response(status=400, text=str(error))
+        self._keyed.adopt(transfer)
+        self._log.info(
+            "outcomes_adopted",
+            bucket=transfer.bucket,
+            records=len(transfer.outcomes),
+        )
+        return web.Response()
+
+
+async def _send_reply(
+    request: web.Request, reply: calls.Reply, headers: dict[str, str]
+) -> web.StreamResponse:
+    small = reply.length is not None and (
+        reply.length <= calls.REPLAY_LIMIT_BYTES
+    )
+    if small:
+        response: web.StreamResponse = web.Response(
+            status=reply.status, body=await reply.read()
+        )
+    else:
+        response = web.StreamResponse(status=reply.status)
+        response.content_length = reply.length
+    response.headers.popall("Content-Type", None)
+    for name, value in reply.headers:
+        response.headers.add(name, value)
+    for name, value in headers.items():
+        response.headers[name] = value
+    if small:
+        return response
+    try:
+        await response.prepare(request)
+        async for chunk in reply.iterate():
+            await response.write(chunk)
+        await response.write_eof()
+    except BaseException:
+        if request.transport is not None:
+            request.transport.abort()
+        raise
+    finally:
+        await reply.close()
+    return response
--- /dev/null
+++ b/src/cowslipshift/serving/router.py
@@ -0,0 +1,179 @@
+"""Finding a host that runs a request, here or elsewhere."""
+
+from __future__ import annotations
+
+import contextlib
+from typing import TYPE_CHECKING
+
+from cowslipshift.coordination import budgets
+from cowslipshift.serving import calls
+from cowslipshift.serving import forwarding
+from cowslipshift.serving import refusals
+from cowslipshift.telemetry import logs
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from cowslipshift import clock as clocks
+    from cowslipshift.routing import loads
+    from cowslipshift.routing import selection
+    from cowslipshift.serving import dispatcher as dispatchers
+    from cowslipshift.telemetry import metrics as metric
+    from cowslipshift.world import atlas as atlases
+    from cowslipshift.world import links
+
+MAX_CANDIDATES = 4
+EXPECTED_ANSWER_BYTES = 16_384
+
+ELSEWHERE_CODES = frozenset({"overloaded", "host_leaving"})
+"""Refusals after which another host is worth trying."""
+
+
+class Router:
+    """Tries hosts in order until one answers.
+
+    Only what certainly did not run is tried elsewhere, or what is
+    idempotent, within the retry budget.
+
+    Args:
+        host: Name of this host.
+        clock: Source of the present time.
+        selector: Orders the hosts.
+        dispatcher: Runs requests on this host's slots.
+        forwarder: Passes requests to other hosts.
+        board: Loads of other hosts.
+        metrics: Metrics of the host.
+        order_regions: Returns regions in order of preference for a call.
+    """
+
+    def __init__(
+        self,
+        host: str,
+        clock: clocks.Clock,
+        selector: selection.Selector,
+        dispatcher: dispatchers.Dispatcher,
+        forwarder: forwarding.Forwarder,
+        board: loads.LoadBoard,
+        metrics: metric.Metrics,
+        order_regions: Callable[[atlases.Atlas, calls.Call], list[str]],
+    ) -> None:
+        self._host = host
+        self._clock = clock
+        self._selector = selector
+        self._dispatcher = dispatcher
+        self._forwarder = forwarder
+        self._board = board
+        self._metrics = metrics
+        self._order_regions = order_regions
+        self._log = logs.EventLog("router")
+        self._atlas: atlases.Atlas | None = None
+        self._links: links.LinkTable | None = None
+        self._region = ""
+        self._budgets: dict[str, budgets.RetryBudget] = {}
+
+    def apply(
+        self, atlas: atlases.Atlas, table: links.LinkTable, region: str
+    ) -> None:
+        """Follow a new configuration."""
+        self._atlas = atlas
+        self._links = table
+        self._region = region
+
+    async def run(self, call: calls.Call) -> calls.Reply:
+        """Run a request where there is room for it.
+
+        Raises:
+            Refusal: No host answered it.
+        """
+        if self._atlas is None:
+            raise refusals.refuse_busy("this host has no configuration yet")
+        budget = self._budgets.setdefault(call.service, budgets.RetryBudget())
+        budget.note_attempt(
+            self._atlas.settings.resolve(
+                "retry_ratio", self._clock.wall(), service=call.service
+            )
+        )
+        candidates = self._selector.list_candidates(
+            self._atlas,
+            call.service,
+            call.scope,
+            self._order_regions(self._atlas, call),
+            self._clock.now(),
+        )
+        refusal: refusals.Refusal | None = None
+        for candidate in candidates[:MAX_CANDIDATES]:
+            if not self._fits_link(call, candidate):
+                continue
+            try:
+                return await self._try_candidate(call, candidate)
+            except refusals.Refusal as error:
+                if not error.not_run or error.code not in ELSEWHERE_CODES:
+                    raise
+                refusal = error
+            except forwarding.LostForwardError as error:
+                self._check_lost(call, candidate, error, budget)
+            if not call.body.is_replayable:
+                break
+        raise refusal or refusals.refuse_busy(
+            f"no region has room for service {call.service}"
+        )
+
+    def _fits_link(
+        self, call: calls.Call, candidate: selection.Candidate
+    ) -> bool:
+        if candidate.region in ("", self._region) or self._links is None:
+            return True
+        size = (call.body.length or 0) + EXPECTED_ANSWER_BYTES
+        return self._links.try_take(candidate.region, size, self._clock.now())
+
+    async def _try_candidate(
+        self, call: calls.Call, candidate: selection.Candidate
+    ) -> calls.Reply:
+        self._log.info(
+            "route",
+            request=call.id,
+            service=call.service,
+            account=call.account,
+            target=candidate.host,
+            region=candidate.region,
+            room=candidate.has_room,
+        )
+        if candidate.host == self._host:
+            return await self._dispatcher.run(call)
+        self._metrics.forwards.inc({"target": candidate.host})
+        self._board.note_sent(candidate.host, call.service, 1)
+        stack = contextlib.ExitStack()
+        stack.callback(self._board.note_sent, candidate.host, call.service, -1)
+        with stack:
+            reply = await self._forwarder.forward(
+                call, candidate.host, candidate.scope
+            )
+            kept = stack.pop_all()
+        reply.add_callback(kept.close)
+        return reply
+
+    def _check_lost(
+        self,
+        call: calls.Call,
+        candidate: selection.Candidate,
+        error: forwarding.LostForwardError,
+        budget: budgets.RetryBudget,
+    ) -> None:
+        self._log.info(
+            "forward_lost",
+            request=call.id,
+            target=candidate.host,
+            not_run=error.not_run,
+            reason=error,
+        )
+        if self._clock.now() >= call.deadline_s:
+            if error.not_run:
+                raise refusals.refuse_late() from error
+            raise refusals.refuse_timeout() from error
+        if error.not_run:
+            return
+        if not call.idempotent or not budget.try_spend():
+            raise refusals.refuse_unknown(
+                "the connection to another host was lost"
+            ) from error
+        self._metrics.retries.inc({"reason": "forward"})
--- /dev/null
+++ b/src/cowslipshift/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the platform and for backend servers."""
--- /dev/null
+++ b/src/cowslipshift/standins/localfleet.py
@@ -0,0 +1,286 @@
+"""A whole deployment on this machine, each daemon a process of its own."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import os
+import pathlib
+import signal
+import sys
+import tempfile
+import time
+from typing import Any
+from typing import TYPE_CHECKING
+
+import aiohttp
+import msgspec
+
+from cowslipshift.config import editor as editors
+from cowslipshift.config import edits
+from cowslipshift.standins import shapes
+from cowslipshift.store import client as clients
+
+if TYPE_CHECKING:
+    from cowslipshift.config import model
+
+SECRET = "local-fleet-secret"
+START_TIMEOUT_S = 30.0
+STOP_TIMEOUT_S = 30.0
+POLL_S = 0.05
+
+
+class StartError(Exception):
+    """A process did not come up in time."""
+
+
+class LocalFleet:
+    """Starts, stops, kills and pauses the processes of a deployment.
+
+    Args:
+        shape: The deployment.
+        log_level: Log level of the daemons.
+        directory: Where logs go; a temporary one if left out.
+    """
+
+    def __init__(
+        self,
+        shape: shapes.Shape,
+        log_level: str = "info",
+        directory: str | None = None,
+    ) -> None:
+        self.shape = shape
+        self.ports = shapes.Ports()
+        self.configuration = shapes.build_configuration(shape, self.ports)
+        self.store_url = f"http://{shapes.ADDRESS}:{self.ports.take()}"
+        self.directory = pathlib.Path(
+            directory or tempfile.mkdtemp(prefix="cowslipshift-")
+        )
+        self._log_level = log_level
+        self._processes: dict[str, asyncio.subprocess.Process] = {}
+        self._session: aiohttp.ClientSession | None = None
+
+    @property
+    def session(self) -> aiohttp.ClientSession:
+        """An HTTP session for tests and demonstrations."""
+        if self._session is None:
+            self._session = aiohttp.ClientSession(
+                connector=aiohttp.TCPConnector(limit=0)
+            )
+        return self._session
+
+    @property
+    def hosts(self) -> dict[str, model.Host]:
+        """The hosts by name."""
+        return {host.name: host for host in self.configuration.hosts}
+
+    async def start(self, hosts: list[str] | None = None) -> None:
+        """Start store, backend servers and hosts, and wait for them.
+
+        Args:
+            hosts: The hosts to start; all if left out.
+        """
+        await self.start_store()
+        await self.start_backends()
+        await self.put_configuration()
+        names = list(self.hosts) if hosts is None else hosts
+        await asyncio.gather(*(self.start_host(name) for name in names))
+        await self.wait_settled(names)
+
+    async def start_store(self) -> None:
+        """Start the store stand-in."""
+        port = self.store_url.rpartition(":")[2]
+        await self._spawn(
+            "store",
+            "cowslipshift.console.application",
+            "standin",
+            "store",
+            f"--port={port}",
+        )
+        await self._wait_http(f"{self.store_url}/control/stats")
+
+    async def start_backends(self) -> None:
+        """Start one process with a stand-in for each backend server."""
+        specification = self.directory / "backends.json"
+        times = {s.name: s.service_ms for s in self.shape.services}
+        rows = [
+            {
+                "name": server.name,
+                "version": server.version,
+                "port": int(server.url.rpartition(":")[2]),
+                "slots": server.slots,
+                "service_ms": times[server.service],
+            }
+            for server in self.configuration.servers
+        ]
+        specification.write_bytes(msgspec.json.encode(rows))
+        await self._spawn(
+            "backends",
+            "cowslipshift.console.application",
+            "standin",
+            "backends",
+            f"--file={specification}",
+        )
+        for server in self.configuration.servers:
+            await self._wait_http(f"{server.url}/health")
+
+    async def put_configuration(self) -> None:
+        """Store the configuration as the next revision."""
+        self.configuration = await self.edit(
+            "start", edits.replace_document(self.configuration)
+        )
+
+    async def edit(self, reason: str, edit: edits.Edit) -> model.Configuration:
+        """Make one change of the configuration."""
+        store = clients.StoreClient([self.store_url], self.session)
+        editor = editors.Editor(store, "local")
+        return await editor.change(reason, time.time(), edit)
+
+    async def start_host(self, name: str, **flags: object) -> None:
+        """Start a host's daemon and wait until it answers.
+
+        Args:
+            name: The host.
+            **flags: Further flags of the daemon.
+        """
+        host = self.hosts[name]
+        centre = next(
+            c
+            for c in self.configuration.data_centres
+            if c.name == host.data_centre
+        )
+        seeds = [h.peer for h in self.hosts.values() if h.name != name][:3]
+        given = {
+            "name": name,
+            "data_centre": centre.name,
+            "region": centre.region,
+            "listen": host.url.removeprefix("http://"),
+            "peer_listen": host.peer,
+            "store": self.store_url,
+            "peers": ",".join(seeds),
+            "log_level": self._log_level,
+            **flags,
+        }
+        await self._spawn(
+            name,
+            "cowslipshift.daemon.main",
+            *(f"--{flag}={value}" for flag, value in given.items()),
+        )
+        await self._wait_http(f"{host.url}/v1/status")
+
+    async def wait_settled(self, names: list[str]) -> None:
+        """Wait until hosts are linked and may use their slots."""
+        await self.wait_until(lambda: self._are_settled(names))
+
+    async def wait_until(
+        self, check: Any, timeout_s: float = START_TIMEOUT_S
+    ) -> None:
+        """Wait until an asynchronous check is true.
+
+        Raises:
+            StartError: It stayed false.
+        """
+        until_s = time.monotonic() + timeout_s
+        while not await check():
+            if time.monotonic() > until_s:
+                raise StartError(f"{check} stayed false, see {self.directory}")
+            await asyncio.sleep(POLL_S)
+
+    async def fetch(self, url: str) -> Any:
+        """Get a JSON document."""
+        async with self.session.get(url) as response:
+            return msgspec.json.decode(await response.read())
+
+    async def fetch_status(self, name: str) -> Any:
+        """Get a host's status."""
+        return await self.fetch(f"{self.hosts[name].url}/v1/status")
+
+    async def post(self, url: str, value: object) -> Any:
+        """Post a JSON document."""
+        async with self.session.post(
+            url, data=msgspec.json.encode(value)
+        ) as response:
+            return msgspec.json.decode(await response.read())
+
+    async def set_store_faults(self, **faults: object) -> None:
+        """Make the store misbehave."""
+        await self.post(f"{self.store_url}/control/faults", faults)
+
+    async def set_behaviour(self, server: str, **behaviour: object) -> None:
+        """Make a backend server misbehave."""
+        url = next(
+            s.url for s in self.configuration.servers if s.name == server
+        )
+        await self.post(f"{url}/control/behaviour", behaviour)
+
+    async def fetch_backends(self, what: str = "stats") -> dict[str, Any]:
+        """Get what all backend servers recorded, by server."""
+        servers = self.configuration.servers
+        answers = await asyncio.gather(
+            *(self.fetch(f"{s.url}/control/{what}") for s in servers)
+        )
+        return {s.name: a for s, a in zip(servers, answers, strict=True)}
+
+    def signal_process(self, name: str, number: int) -> None:
+        """Send a signal to a process of this fleet."""
+        self._processes[name].send_signal(number)
+
+    async def kill(self, name: str) -> None:
+        """Kill a process."""
+        self._processes[name].kill()
+        await self._processes.pop(name).wait()
+
+    async def stop(self, name: str) -> int:
+        """Stop a process gracefully and return its exit status."""
+        process = self._processes.pop(name)
+        with contextlib.suppress(ProcessLookupError):
+            process.terminate()
+        async with asyncio.timeout(STOP_TIMEOUT_S):
+            return await process.wait()
+
+    async def close(self) -> None:
+        """End all processes."""
+        for process in self._processes.values():
+            with contextlib.suppress(ProcessLookupError):
+                process.send_signal(signal.SIGCONT)
+                process.kill()
+        await asyncio.gather(*(p.wait() for p in self._processes.values()))
+        self._processes.clear()
+        if self._session is not None:
+            await self._session.close()
+
+    async def _are_settled(self, names: list[str]) -> bool:
+        for name in names:
+            try:
+                status = await self.fetch_status(name)
+            except aiohttp.ClientError:
+                return False
+            linked = len(status["linked"]) >= len(names) - 1
+            if not status["settled"] or not linked or not status["revision"]:
+                return False
+        return True
+
+    async def _spawn(self, name: str, module: str, *arguments: str) -> None:
+        log = (self.directory / f"{name}.log").open("ab")
+        environment = {**os.environ, "COWSLIPSHIFT_SECRET": SECRET}
+        self._processes[name] = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            module,
+            *arguments,
+            stdout=log,
+            stderr=log,
+            env=environment,
+        )
+        log.close()
+
+    async def _wait_http(self, url: str) -> None:
+        async def answers() -> bool:
+            try:
+                async with self.session.get(url) as response:
+                    await response.read()
+            except (aiohttp.ClientError, OSError):
+                return False
+            return True
+
+        await self.wait_until(answers)
--- /dev/null
+++ b/src/cowslipshift/store/__init__.py
@@ -0,0 +1,1 @@
+"""The client of the platform's key-value store."""
--- /dev/null
+++ b/src/cowslipshift/telemetry/__init__.py
@@ -0,0 +1,1 @@
+"""Logs and metrics."""
--- /dev/null
+++ b/src/cowslipshift/telemetry/metrics.py
@@ -0,0 +1,87 @@
+"""Prometheus metrics of a host."""
+
+from __future__ import annotations
+
+import aioprometheus
+
+LATENCY_BUCKETS_S = (
+    0.001,
+    0.0025,
+    0.005,
+    0.01,
+    0.025,
+    0.05,
+    0.1,
+    0.25,
+    0.5,
+    1.0,
+    2.5,
+    5.0,
+    10.0,
+)
+
+
+class Metrics:
+    """The metrics of one host and the registry that renders them."""
+
+    def __init__(self, host: str) -> None:
+        self.registry = aioprometheus.Registry()
+        self._labels = {"host": host}
+        self.lookups = self._add_counter(
+            "cowslipshift_lookups_total", "Look-ups by outcome."
+        )
+        self.requests = self._add_counter(
+            "cowslipshift_requests_total",
+            "Requests by service and status code.",
+        )
+        self.refusals = self._add_counter(
+            "cowslipshift_refusals_total", "Refusals by error code."
+        )
+        self.forwards = self._add_counter(
+            "cowslipshift_forwards_total", "Requests passed to other hosts."
+        )
+        self.retries = self._add_counter(
+            "cowslipshift_retries_total", "Second attempts by reason."
+        )
+        self.latency = aioprometheus.Histogram(
+            "cowslipshift_request_seconds",
+            "Time from request to answer.",
+            const_labels=self._labels,
+            buckets=list(LATENCY_BUCKETS_S),
+            registry=self.registry,
+        )
+        self.revision = self._add_gauge(
+            "cowslipshift_config_revision", "Configuration in force."
+        )
+        self.peers = self._add_gauge(
+            "cowslipshift_peers", "Linked hosts by state."
+        )
+        self.slots = self._add_gauge(
+            "cowslipshift_slots", "Slots of owned backend servers by state."
+        )
+        self.queued = self._add_gauge(
+            "cowslipshift_queued_requests", "Requests that wait for a slot."
+        )
+        self.peer_bytes = self._add_counter(
+            "cowslipshift_peer_bytes_total", "Control traffic by direction."
+        )
+        self.store_calls = self._add_counter(
+            "cowslipshift_store_calls_total", "Calls of the store by kind."
+        )
+
+    def render(self) -> tuple[bytes, dict[str, str]]:
+        """Return the exposition text and its HTTP headers."""
+        content, headers = aioprometheus.render(
+            self.registry, ["text/plain; version=0.0.4"]
+        )
+        return content, headers
+
+    def _add_counter(self, name: str, doc: str) -> aioprometheus.Counter:
+        return aioprometheus.Counter(
+            name, doc, const_labels=self._labels, registry=self.registry
+        )
+
+    def _add_gauge(self, name: str, doc: str) -> aioprometheus.Gauge:
+        return aioprometheus.Gauge(
+            name, doc, const_labels=self._labels, registry=self.registry
+        )
--- /dev/null
+++ b/src/cowslipshift/world/__init__.py
@@ -0,0 +1,1 @@
+"""Objects that mirror the operators' world, built from a configuration."""
--- /dev/null
+++ b/src/cowslipshift/world/contracts.py
@@ -0,0 +1,47 @@
+"""Client accounts and the keys that callers show."""
+
+from __future__ import annotations
+
+import hashlib
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from cowslipshift.config import model
+
+
+class ContractBook:
+    """The accounts and keys of a configuration."""
+
+    def __init__(self, configuration: model.Configuration) -> None:
+        self.accounts = {a.name: a for a in configuration.accounts}
+        self._digests = {key.digest: key for key in configuration.keys}
+        self._keys = {key.id: key for key in configuration.keys}
+        self._total_rate = sum(a.rate for a in configuration.accounts)
+
+    def find_key(self, secret: str) -> model.Key | None:
+        """Return the entry of a key that a caller shows."""
+        return self._digests.get(digest_key(secret))
+
+    def is_active(self, key_id: str) -> bool:
+        """Tell whether a key works."""
+        key = self._keys.get(key_id)
+        return key is not None and key.state == "active"
+
+    def may_use(self, account: str, service: str) -> bool:
+        """Tell whether an account may use a service."""
+        entry = self.accounts.get(account)
+        return entry is not None and (
+            not entry.services or service in entry.services
+        )
+
+    def weigh(self, account: str) -> float:
+        """Return an account's part of the sum of all rates."""
+        entry = self.accounts.get(account)
+        if entry is None or self._total_rate <= 0.0:
+            return 0.0
+        return entry.rate / self._total_rate
+
+
+def digest_key(secret: str) -> str:
+    """Return the digest under which a key is configured."""
+    return hashlib.sha256(secret.encode()).hexdigest()
