Roster and home table: fences that never cross, found by fuzzing

Cause: a stateful machine over hosts that die, pause, leave, are cut off and lose the store broke the slot bound three ways. Two hosts that could not hear each other fenced one another within one round, each then acted without the other's consent. A host that was fenced kept its own removals of others. A host that rejoined took acknowledgements of its former number for refusals and renewed its number for ever. Change: fences to write are chosen after fences are read; a host that rejoins forgets whom it fenced and fences nobody for a minute; a pause as long as the silence limit means a new number; acknowledgements end with the number they were for; while the store is down the time that a fenced host is given starts anew.

--- a/src/cowslipshift/coordination/roster.py
+++ b/src/cowslipshift/coordination/roster.py
@@ -30,6 +30,9 @@
 FENCE_WAIT_S = 6.0
 """Time that a fenced member has to read its fence and stop."""
 
+REFENCE_AFTER_S = 60.0
+"""How long a host that was fenced waits before it fences others."""
+
 PAUSE_LIMIT_S = 1.0
 """A gap between ticks that counts as a pause of the process."""
 
@@ -101,6 +104,8 @@
         self._began_s = now
         self._ticked_s = now
         self._suspended_s: float | None = None
+        self._paused_for_s = 0.0
+        self._may_fence_s = now
 
     @property
     def is_leaving(self) -> bool:
@@ -174,6 +179,7 @@
         if joined:
             peer.fenced_s = None
             peer.counts_me = 0
+            peer.acknowledged_s = None
             self.epoch += 1
         self._set_standing(peer, Standing.LEFT if leaving else Standing.LIVE)
         return joined and not leaving
@@ -224,22 +230,37 @@
 
     def tick(self, now: float) -> None:
         """Notice pauses of this process and silence of peers."""
-        if now - self._ticked_s > PAUSE_LIMIT_S:
-            self._suspended_s = now
+        if self._note_pause(now):
             for peer in self.peers.values():
                 peer.heard_s = max(peer.heard_s, now - 1.0)
         self._ticked_s = now
         for peer in self.peers.values():
             self._check_peer(peer, now)
 
-    def find_silent(self) -> list[tuple[str, int]]:
-        """Return the peers to fence, with their incarnations."""
+    def find_silent(self, now: float) -> list[tuple[str, int]]:
+        """Return the peers to fence, with their incarnations.
+
+        A host that was fenced itself leaves this to others for a while, so
+        that two hosts that cannot hear each other do not take turns.
+        """
+        if now < self._may_fence_s:
+            return []
         return [
             (peer.name, peer.incarnation)
             for peer in self.peers.values()
             if peer.standing is Standing.SILENT and peer.fenced_s is None
         ]
 
+    def note_store_failure(self, now: float) -> None:
+        """Record that fences cannot be read right now.
+
+        A fenced host may not have read its fence either, so that the time
+        it is given starts anew.
+        """
+        for peer in self.peers.values():
+            if peer.fenced_s is not None and peer.standing not in _REMOVED:
+                peer.fenced_s = now
+
     def needs_fence_check(self, now: float) -> bool:
         """Tell whether this host must ask the store for fences on it."""
         return any(
@@ -277,12 +298,15 @@
         since_s = self._suspended_s
         if since_s is None:
             return
-        if store_cleared or all(
+        if self._paused_for_s >= SILENT_AFTER_S - PAUSE_LIMIT_S:
+            self._rejoin(self.incarnation + 1, now)
+        elif store_cleared or all(
             self._is_fresh(peer, since_s)
             for peer in self.peers.values()
             if peer.standing not in _REMOVED
         ):
             self._suspended_s = None
+            self._paused_for_s = 0.0
 
     def start_leaving(self) -> None:
         """Begin to leave: this host counts itself out."""
@@ -295,8 +319,7 @@
         The time is compared with the last tick, so that a process that was
         paused stops before its first decision.
         """
-        if now - self._ticked_s > PAUSE_LIMIT_S:
-            self._suspended_s = now
+        self._note_pause(now)
         return (
             self._suspended_s is None
             and not self._leaving
@@ -311,6 +334,15 @@
             if peer.standing not in _REMOVED
         )
 
+    def _note_pause(self, now: float) -> bool:
+        """Notice a gap since the last tick; return whether there was one."""
+        gap_s = now - self._ticked_s
+        if gap_s <= PAUSE_LIMIT_S:
+            return False
+        self._paused_for_s = max(self._paused_for_s, gap_s)
+        self._suspended_s = now
+        return True
+
     def _is_current(self, peer: Peer, incarnation: int) -> bool:
         return (
             incarnation == peer.incarnation
@@ -327,9 +359,15 @@
         self.incarnation = incarnation
         self._began_s = now
         self._suspended_s = None
+        self._paused_for_s = 0.0
+        self._may_fence_s = now + REFENCE_AFTER_S
         for peer in self.peers.values():
             peer.counts_me = 0
             peer.acknowledged_s = None
+            if peer.standing is Standing.FENCED:
+                peer.standing = Standing.UNKNOWN
+                peer.fenced_s = None
+                peer.heard_s = now
         self.epoch += 1
 
     def _check_peer(self, peer: Peer, now: float) -> None:
--- a/src/cowslipshift/daemon/membership.py
+++ b/src/cowslipshift/daemon/membership.py
@@ -188,12 +188,12 @@
         while True:
             await asyncio.sleep(FENCE_CHECK_INTERVAL_S)
             now = self._clock.now()
-            silent = self._roster.find_silent()
+            silent = self._roster.find_silent(now)
             needed = self._roster.needs_fence_check(now)
             if silent or needed or self._roster.is_suspended:
-                await self._settle_fences(silent)
+                await self._settle_fences()
 
-    async def _settle_fences(self, silent: list[tuple[str, int]]) -> None:
+    async def _settle_fences(self) -> None:
         cleared = False
         try:
             known = await self._store.get_key(self._key)
@@ -202,7 +202,7 @@
             self._obey(fences)
             wanted = {
                 name: number
-                for name, number in silent
+                for name, number in self._roster.find_silent(self._clock.now())
                 if fences.get(name, -1) < number
             }
             if wanted and not self._roster.is_suspended:
@@ -211,6 +211,7 @@
                 self._log.warn("fenced", hosts=",".join(sorted(wanted)))
         except store_exceptions.StoreError as error:
             self._log.info("fences_unread", reason=error)
+            self._roster.note_store_failure(self._clock.now())
         now = self._clock.now()
         waited = self._roster.measure_suspension(now) > STORE_WAIT_S
         self._roster.try_resume(now, store_cleared=cleared or waited)
--- a/src/cowslipshift/peers/network.py
+++ b/src/cowslipshift/peers/network.py
@@ -255,7 +255,10 @@
             max_msg_size=messages.MAX_MESSAGE_BYTES, compress=False
         )
         socket.headers[HOST_HEADER] = self.host
-        await socket.prepare(request)
+        try:
+            await socket.prepare(request)
+        except ConnectionError:
+            return socket
         await self._run_link(Link(name, socket, name, self))
         return socket
 
--- a/src/cowslipshift/serving/calls.py
+++ b/src/cowslipshift/serving/calls.py
@@ -239,7 +239,7 @@
 ) -> list[tuple[str, str]]:
     """Return the headers of an answer that callers may see."""
     return [
-        (name, value)
+        (str(name), value)
         for name, value in response.headers.items()
         if name.lower() not in HOP_HEADERS
     ]
--- a/src/cowslipshift/serving/gateway.py
+++ b/src/cowslipshift/serving/gateway.py
@@ -57,6 +57,20 @@
 _TRAVERSAL = re.compile(r"/(?:\.|%2e){1,2}(?:/|$)", re.IGNORECASE)
 
 
+CALLER_GONE_STATUS = 499
+
+
+class _Outcome:
+    """What became of a request, for its log line and metrics."""
+
+    __slots__ = ("account", "code", "status")
+
+    def __init__(self) -> None:
+        self.account = ""
+        self.code = ""
+        self.status = CALLER_GONE_STATUS
+
+
 class Gateway:
     """Checks callers' requests and answers them.
 
@@ -135,37 +149,66 @@
         """Run a caller's request."""
         started_s = self._clock.now()
         request_id = uuid.uuid4().hex
-        service = request.match_info["service"]
+        outcome = _Outcome()
         self.running += 1
-        account = ""
-        status = 499
-        code = "caller_gone"
         try:
-            call = await self._parse_call(request, request_id, started_s)
-            account = call.account
-            response = await self._run(request, call)
-            status, code = response.status, ""
-            return response
-        except refusals.Refusal as refusal:
-            status, code = refusal.status, refusal.code
-            self._metrics.refusals.inc({"code": code})
-            return _build_refusal(refusal, request_id)
+            return await self._answer(request, request_id, started_s, outcome)
         finally:
             self.running -= 1
-            elapsed_s = self._clock.now() - started_s
-            self._metrics.latency.observe({"service": service}, elapsed_s)
-            self._metrics.requests.inc(
-                {"service": service, "status": str(status)}
-            )
-            self._log.info(
-                "request",
-                request=request_id,
-                service=service,
-                account=account,
-                status=status,
-                code=code,
-                ms=elapsed_s * 1000,
-            )
+            self._note_outcome(request, request_id, started_s, outcome)
+
+    async def _answer(
+        self,
+        request: web.Request,
+        request_id: str,
+        started_s: float,
+        outcome: _Outcome,
+    ) -> web.StreamResponse:
+        try:
+            call = await self._parse_call(request, request_id, started_s)
+            outcome.account = call.account
+            response = await self._run(request, call)
+        except Exception as error:
+            refusal = self._describe_error(request_id, error)
+            outcome.code = refusal.code
+            response = _build_refusal(refusal, request_id)
+        outcome.status = response.status
+        return response
+
+    def _describe_error(
+        self, request_id: str, error: Exception
+    ) -> refusals.Refusal:
+        if isinstance(error, refusals.Refusal):
+            return error
+        self._log.error(
+            "request_failed", request=request_id, reason=repr(error)
+        )
+        return refusals.refuse_internal()
+
+    def _note_outcome(
+        self,
+        request: web.Request,
+        request_id: str,
+        started_s: float,
+        outcome: _Outcome,
+    ) -> None:
+        service = request.match_info["service"]
+        elapsed_s = self._clock.now() - started_s
+        if outcome.code:
+            self._metrics.refusals.inc({"code": outcome.code})
+        self._metrics.latency.observe({"service": service}, elapsed_s)
+        self._metrics.requests.inc(
+            {"service": service, "status": str(outcome.status)}
+        )
+        self._log.info(
+            "request",
+            request=request_id,
+            service=service,
+            account=outcome.account,
+            status=outcome.status,
+            code=outcome.code,
+            ms=elapsed_s * 1000,
+        )
 
     async def _run(
         self, request: web.Request, call: calls.Call
--- a/src/cowslipshift/serving/peerapi.py
+++ b/src/cowslipshift/serving/peerapi.py
@@ -102,10 +102,12 @@
         self, request: web.Request
     ) -> web.StreamResponse:
         service = request.match_info["service"]
+        call: calls.Call | None = None
         try:
             call = self._parse_call(request, service)
             reply = await self._run(request, call)
-        except refusals.Refusal as refusal:
+        except Exception as error:
+            refusal = self._describe_error(call, error)
             return web.Response(
                 status=refusal.status,
                 body=refusals.encode_refusal(refusal),
@@ -115,6 +117,18 @@
         headers[wire.SERVER] = reply.server
         return await _send_reply(request, reply, headers)
 
+    def _describe_error(
+        self, call: calls.Call | None, error: Exception
+    ) -> refusals.Refusal:
+        if isinstance(error, refusals.Refusal):
+            return error
+        self._log.error(
+            "forward_failed",
+            request=call.id if call is not None else "",
+            reason=repr(error),
+        )
+        return refusals.refuse_internal()
+
     def _parse_call(self, request: web.Request, service: str) -> calls.Call:
         path = request.raw_path[len(FORWARD_PREFIX + service) :]
         return wire.parse_call(
--- a/src/cowslipshift/serving/refusals.py
+++ b/src/cowslipshift/serving/refusals.py
@@ -102,6 +102,16 @@
     return Refusal(502, "outcome_unknown", message, not_run=False)
 
 
+def refuse_internal() -> Refusal:
+    """Report a fault of this host; the request may have been run."""
+    return Refusal(
+        500,
+        "internal",
+        "this host failed to answer; look at its log",
+        not_run=False,
+    )
+
+
 def refuse_key_withdrawn() -> Refusal:
     """Refuse a request whose key was withdrawn."""
     return Refusal(401, "key_invalid", "the key is not known or withdrawn")
--- a/src/cowslipshift/serving/wire.py
+++ b/src/cowslipshift/serving/wire.py
@@ -93,10 +93,15 @@
         TIMEOUT: str(max(1, int(remaining_s * 1000))),
         REQUEST_ID: call.id,
         IDEMPOTENCY_KEY: call.key,
-        HEADERS: msgspec.json.encode(call.headers).decode(),
+        HEADERS: _encode_headers(call.headers),
     }
 
 
+def _encode_headers(headers: list[tuple[str, str]]) -> str:
+    plain = [(str(name), value) for name, value in headers]
+    return msgspec.json.encode(plain).decode()
+
+
 def parse_call(
     headers: Mapping[str, str],
     *,
--- /dev/null
+++ b/tests/fuzz/centre.py
@@ -0,0 +1,254 @@
+"""A data centre in fake time: rosters and home tables that exchange
+heartbeats, with processes that die or pause, cut links and a store."""
+
+from __future__ import annotations
+
+import collections
+
+from cowslipshift.coordination import homes
+from cowslipshift.coordination import roster as rosters
+
+STEP_S = 0.1
+HOLD_S = 3.0
+SLOTS = 2
+HEARTBEAT_EVERY = 10
+PROBE_EVERY = 3
+FENCE_EVERY = 20
+LINK_SILENT_S = 3.0
+STORE_WAIT_S = 5.0
+
+
+class Server:
+    """A backend server: it counts what runs, whoever sent it."""
+
+    def __init__(self) -> None:
+        self.ends: list[float] = []
+
+    def start(self, now: float, until: float) -> None:
+        self.ends = [end for end in self.ends if end > now]
+        self.ends.append(until)
+        assert len(self.ends) <= SLOTS, "more requests than slots"
+
+
+class Link:
+    """One direction of a link: numbered heartbeats, in order."""
+
+    def __init__(self) -> None:
+        self.sequence = 0
+        self.heard = 0
+        self.sent_s: dict[int, float] = {}
+        self.queue: collections.deque[tuple[float, dict[str, object]]] = (
+            collections.deque()
+        )
+        self.alive_s = 0.0
+
+
+class Process:
+    """One process of a host."""
+
+    def __init__(
+        self, centre: Centre, name: str, incarnation: int, clean: bool
+    ) -> None:
+        self.centre = centre
+        self.name = name
+        self.paused = False
+        self.running: dict[str, list[float]] = {}
+        self.roster = rosters.Roster(name, incarnation, self.now)
+        self.table = homes.HomeTable(self.roster, clean)
+        self.roster.set_configured(centre.names, self.now)
+        self.table.set_resources(
+            dict.fromkeys(centre.servers, HOLD_S), self.now
+        )
+
+    @property
+    def now(self) -> float:
+        """Monotonic clocks have origins of their own."""
+        return self.centre.now + 500.0 * self.centre.names.index(self.name)
+
+    def count_running(self, resource: str) -> tuple[int, float]:
+        now = self.centre.now
+        kept = [end for end in self.running.get(resource, []) if end > now]
+        self.running[resource] = kept
+        return len(kept), 0.0
+
+    def try_start(self, resource: str, lasts_s: float) -> bool:
+        usable = self.table.count_usable(resource, SLOTS, self.now)
+        if self.count_running(resource)[0] >= usable:
+            return False
+        until = self.centre.now + lasts_s
+        self.running[resource].append(until)
+        self.centre.servers[resource].start(self.centre.now, until)
+        return True
+
+    def is_idle(self) -> bool:
+        return not any(self.count_running(r)[0] for r in self.centre.servers)
+
+
+class Centre:
+    """The hosts, links, servers and store of a data centre."""
+
+    def __init__(self, hosts: int, servers: int, delay_s: float) -> None:
+        self.now = 0.0
+        self.steps = 0
+        self.delay_s = delay_s
+        self.names = [f"h{n}" for n in range(hosts)]
+        self.servers = {f"s{n}": Server() for n in range(servers)}
+        self.processes: dict[str, Process] = {}
+        self.clean: dict[str, bool] = dict.fromkeys(self.names, True)
+        self.cut: set[frozenset[str]] = set()
+        self.links: dict[tuple[str, str], Link] = {}
+        self.store_up = True
+        self.fences: dict[str, int] = {}
+        self.incarnations = 0
+        for name in self.names:
+            self.start(name)
+
+    def start(self, name: str) -> None:
+        self.incarnations += 100
+        clean = self.clean[name] and self.store_up
+        self.processes[name] = Process(self, name, self.incarnations, clean)
+        self.clean[name] = False
+        for pair in list(self.links):
+            if name in pair:
+                del self.links[pair]
+
+    def kill(self, name: str) -> None:
+        del self.processes[name]
+
+    def leave(self, name: str) -> None:
+        """Stop gracefully, if the requests end while we wait."""
+        process = self.processes[name]
+        process.roster.start_leaving()
+        self.exchange(name)
+        self.advance(int(HOLD_S / STEP_S) + 1)
+        self.exchange(name)
+        waiting = process.table.has_waiting(process.now)
+        if process.is_idle() and not waiting:
+            self.clean[name] = self.store_up
+        self.kill(name)
+
+    def advance(self, steps: int) -> None:
+        for _ in range(steps):
+            self.now += STEP_S
+            self.steps += 1
+            for name in list(self.processes):
+                self.run_step(name)
+
+    def run_step(self, name: str) -> None:
+        process = self.processes.get(name)
+        if process is None or process.paused:
+            return
+        self.receive(name)
+        process.roster.tick(process.now)
+        process.roster.try_resume(process.now, store_cleared=False)
+        process.table.refresh(process.now)
+        if self.steps % PROBE_EVERY == 0:
+            self.probe(name)
+        if self.steps % HEARTBEAT_EVERY == 0:
+            self.exchange(name)
+        if self.steps % FENCE_EVERY == 0:
+            self.settle_fences(name)
+
+    def is_open(self, first: str, second: str) -> bool:
+        return (
+            first in self.processes
+            and second in self.processes
+            and frozenset((first, second)) not in self.cut
+        )
+
+    def probe(self, name: str) -> None:
+        roster = self.processes[name].roster
+        for other in self.names:
+            if other == name or (name, other) in self.links:
+                continue
+            if frozenset((name, other)) in self.cut:
+                roster.note_unanswered(other)
+            elif other not in self.processes:
+                roster.note_refused(other, self.processes[name].now)
+            elif self.processes[other].paused:
+                roster.note_unanswered(other)
+            else:
+                self.links[name, other] = Link()
+                self.links[other, name] = Link()
+                self.links[name, other].alive_s = self.now
+                self.links[other, name].alive_s = self.now
+                self.send(name, other)
+                self.send(other, name)
+
+    def exchange(self, name: str) -> None:
+        for other in self.names:
+            if (name, other) in self.links:
+                self.send(name, other)
+
+    def send(self, name: str, other: str) -> None:
+        process = self.processes[name]
+        link = self.links[name, other]
+        back = self.links[other, name]
+        if self.now - back.alive_s > LINK_SILENT_S:
+            del self.links[name, other], self.links[other, name]
+            return
+        link.sequence += 1
+        link.sent_s[link.sequence] = process.now
+        message = {
+            "incarnation": process.roster.incarnation,
+            "sequence": link.sequence,
+            "heard": back.heard,
+            "counts_you": process.roster.counts(other),
+            "leaving": process.roster.is_leaving,
+            "handovers": process.table.list_handovers(
+                other, process.count_running, process.now
+            ),
+        }
+        if self.is_open(name, other):
+            link.queue.append((self.now + self.delay_s, message))
+
+    def receive(self, name: str) -> None:
+        for other in self.names:
+            link = self.links.get((other, name))
+            while link and link.queue and link.queue[0][0] <= self.now:
+                _, message = link.queue.popleft()
+                link.alive_s = self.now
+                self.take(name, other, link, message)
+
+    def take(
+        self, name: str, other: str, link: Link, message: dict[str, object]
+    ) -> None:
+        process = self.processes[name]
+        link.heard = message["sequence"]
+        joined = process.roster.note_heartbeat(
+            other, message["incarnation"], message["leaving"], process.now
+        )
+        process.table.accept_handovers(
+            other, message["handovers"], process.now
+        )
+        mine = self.links[name, other]
+        sent_s = mine.sent_s.pop(message["heard"], None)
+        if sent_s is not None:
+            process.roster.note_acknowledgement(
+                other, sent_s, message["counts_you"]
+            )
+        if joined:
+            self.send(name, other)
+
+    def settle_fences(self, name: str) -> None:
+        process = self.processes[name]
+        roster = process.roster
+        silent = roster.find_silent(process.now)
+        needed = roster.needs_fence_check(process.now)
+        if not silent and not needed and not roster.is_suspended:
+            return
+        if self.store_up:
+            self.obey(process)
+            if not roster.is_suspended:
+                for other, number in roster.find_silent(process.now):
+                    if self.fences.get(other, -1) < number:
+                        self.fences[other] = number
+                self.obey(process)
+        else:
+            roster.note_store_failure(process.now)
+        waited = roster.measure_suspension(process.now) > STORE_WAIT_S
+        roster.try_resume(process.now, store_cleared=self.store_up or waited)
+
+    def obey(self, process: Process) -> None:
+        for host, number in self.fences.items():
+            process.roster.note_fence(host, number, process.now)
--- /dev/null
+++ b/tests/fuzz/test_shares_machine.py
@@ -0,0 +1,139 @@
+"""Accounts never exceed rate x t + burst, whatever happens to loans."""
+
+from __future__ import annotations
+
+from hypothesis import stateful
+from hypothesis import strategies as st
+
+from cowslipshift.coordination import shares
+from cowslipshift.serving import allowance
+
+HOSTS = 4
+HOLDERS = 3
+RATE = 6.0
+BURST = 9.0
+SLACK = 1e-6
+
+hosts = st.integers(0, HOSTS - 1)
+times = st.sampled_from([0.01, 0.1, 0.5, 1.0, 2.0, 3.9, 4.1, 9.0])
+
+
+class Oracle:
+    """One bucket for the whole fleet."""
+
+    def __init__(self) -> None:
+        self.tokens = BURST
+        self.now = 0.0
+
+    def advance(self, seconds: float) -> None:
+        self.now += seconds
+        self.tokens = min(BURST, self.tokens + RATE * seconds)
+
+    def take(self) -> None:
+        self.tokens -= 1.0
+        assert self.tokens >= -SLACK, "the account exceeded its rate"
+
+
+class SharesMachine(stateful.RuleBasedStateMachine):
+    """Hosts whose messages are lost, late or doubled, and that die."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.oracle = Oracle()
+        self.sequence = 0
+        self.base_from = dict.fromkeys(range(HOSTS), 0.0)
+        self.shares = [self.build_share(n) for n in range(HOSTS)]
+        self.wants: list[tuple[int, int, shares.Want]] = []
+        self.grants: list[tuple[int, int, shares.Grant]] = []
+        for number in range(HOLDERS):
+            self.shares[number].set_base(self.base, self.clock(number), True)
+
+    @property
+    def base(self) -> shares.Terms:
+        return shares.Terms(RATE / HOLDERS, BURST / HOLDERS)
+
+    def clock(self, host: int) -> float:
+        """Each host has a monotonic clock with an origin of its own."""
+        return self.oracle.now + 1000.0 * host
+
+    def build_share(self, host: int) -> shares.AccountShare:
+        self.sequence += 1_000_000
+        return shares.AccountShare("a", self.clock(host), self.sequence)
+
+    @stateful.rule(seconds=times)
+    def advance(self, seconds: float) -> None:
+        self.oracle.advance(seconds)
+        for host in range(HOLDERS):
+            share = self.shares[host]
+            if not share.is_holder and (
+                self.oracle.now >= self.base_from[host]
+            ):
+                share.set_base(self.base, self.clock(host))
+
+    @stateful.rule(host=hosts, count=st.integers(1, 12))
+    def request(self, host: int, count: int) -> None:
+        share = self.shares[host]
+        for _ in range(count):
+            share.demand.note_arrival(self.clock(host))
+            if share.try_take(self.clock(host)):
+                self.oracle.take()
+
+    @stateful.rule(
+        who=hosts,
+        holder=hosts,
+        rate=st.sampled_from([0.0, 0.5, 2.0, 6.0, 50.0]),
+        tokens=st.sampled_from([0.0, 1.0, 5.0, 50.0]),
+    )
+    def ask(self, who: int, holder: int, rate: float, tokens: float) -> None:
+        if who == holder:
+            return
+        want = self.shares[who].ask(str(holder), rate, tokens, self.clock(who))
+        self.wants.append((who, holder, want))
+
+    @stateful.rule(data=st.data(), keep=st.booleans())
+    def deliver_want(self, data: st.DataObject, keep: bool) -> None:
+        if not self.wants:
+            return
+        index = data.draw(st.integers(0, len(self.wants) - 1))
+        who, holder, want = self.wants[index]
+        if not keep:
+            del self.wants[index]
+        grant = self.shares[holder].lend(str(who), want, self.clock(holder))
+        if grant is not None:
+            self.grants.append((holder, who, grant))
+
+    @stateful.rule(data=st.data(), keep=st.booleans())
+    def deliver_grant(self, data: st.DataObject, keep: bool) -> None:
+        if not self.grants:
+            return
+        index = data.draw(st.integers(0, len(self.grants) - 1))
+        holder, who, grant = self.grants[index]
+        if not keep:
+            del self.grants[index]
+        self.shares[who].accept(str(holder), grant, self.clock(who))
+
+    @stateful.rule()
+    def lose_messages(self) -> None:
+        self.wants.clear()
+        self.grants.clear()
+
+    @stateful.rule(host=hosts)
+    def replace(self, host: int) -> None:
+        """A host dies and another process takes its name."""
+        self.shares[host] = self.build_share(host)
+        self.base_from[host] = self.oracle.now + allowance.HOLD_S
+
+    @stateful.rule(host=hosts)
+    def wake_from_pause(self, host: int) -> None:
+        self.shares[host].forget(self.clock(host))
+
+    @stateful.invariant()
+    def hold_parts_within_the_whole(self) -> None:
+        now = [self.clock(n) for n in range(HOSTS)]
+        rate = sum(s.measure_rate(t) for s, t in zip(self.shares, now))
+        assert rate <= RATE + SLACK
+        tokens = sum(s.measure_tokens(t) for s, t in zip(self.shares, now))
+        assert tokens <= self.oracle.tokens + SLACK
+
+
+TestShares = SharesMachine.TestCase
