Fences name all processes up to a moment, and old ones prove nothing

Cause: 4,000 examples of the homes machine found two hosts acting on one server: a fence written by a host that had never heard its peer named no real process, and a host that rejoined took an old fence for consent. Ruled out: late messages, store outages (both are in the machine and the trace shows neither). Change: a fence covers every process that began before it plus the allowed clock difference; a fence older than one's own number is ignored; a host reads fences unless each peer acknowledged it lately or is known to be dead. Before: red at example 1,1xx of 4,000. After: the trace and 60 examples green; a longer run follows.

--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements on real daemons over loopback."""
--- /dev/null
+++ b/bench/__main__.py
@@ -0,0 +1,60 @@
+"""``python -m bench``: run a measurement and print its report."""
+
+from __future__ import annotations
+
+import asyncio
+import datetime
+import pathlib
+from typing import Any
+from typing import TYPE_CHECKING
+
+import fire
+import msgspec
+
+from bench import lookups
+from bench import requests
+
+if TYPE_CHECKING:
+    from collections.abc import Coroutine
+
+RESULTS = pathlib.Path("docs/measurements")
+
+
+def _report(
+    name: str, job: Coroutine[Any, Any, dict[str, Any]], save: bool
+) -> None:
+    result = asyncio.run(job)
+    raw = msgspec.json.format(msgspec.json.encode(result), indent=2)
+    print(raw.decode())
+    if save:
+        day = datetime.date.today().isoformat()
+        (RESULTS / f"{day}-{name}.json").write_bytes(raw + b"\n")
+
+
+class Bench:
+    """Measurements on real daemons over loopback; each compares two things."""
+
+    def lookups(
+        self, seconds: float = 5.0, connections: int = 8, save: bool = False
+    ) -> None:
+        """Look-ups on one daemon against a bare aiohttp handler.
+
+        Args:
+            seconds: Length of each run.
+            connections: Connections of each of four generators.
+            save: Keep the result in docs/measurements.
+        """
+        _report("lookups", lookups.measure(seconds, connections), save)
+
+    def requests(self, seconds: float = 6.0, save: bool = False) -> None:
+        """Requests through a host against calling the servers directly.
+
+        Args:
+            seconds: Length of each run.
+            save: Keep the result in docs/measurements.
+        """
+        _report("requests", requests.measure(seconds), save)
+
+
+if __name__ == "__main__":
+    fire.Fire(Bench, name="bench")
--- /dev/null
+++ b/bench/requests.py
@@ -0,0 +1,75 @@
+"""Latency that the system adds, at half of saturation."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+
+from bench import load
+from cowslipshift.config import model
+from cowslipshift.standins import localfleet
+from cowslipshift.standins import shapes
+
+ACCOUNT = "bench"
+GENERATORS = 2
+
+ONE_HOST = shapes.Shape(
+    places={"north": {"north-a": 1}},
+    services=(shapes.ServiceShape("catalogue", 4, 6, 10.0, shapes.READ),),
+    accounts={ACCOUNT: (100_000.0, 100_000.0)},
+)
+TWO_HOSTS = msgspec.structs.replace(ONE_HOST, places={"north": {"north-a": 2}})
+
+
+async def measure(seconds: float) -> dict[str, Any]:
+    """Compare direct calls, one host, and two hosts that share slots."""
+    return {
+        "one_host": await _compare(ONE_HOST, seconds),
+        "two_hosts": await _compare(TWO_HOSTS, seconds),
+    }
+
+
+async def _compare(shape: shapes.Shape, seconds: float) -> dict[str, Any]:
+    fleet = localfleet.LocalFleet(shape, log_level="info")
+    try:
+        await fleet.start()
+        servers = [server.url for server in fleet.configuration.servers]
+        hosts = [host.url for host in fleet.hosts.values()]
+        rate = _find_rate(shape, fleet.configuration)
+        direct = await _send([f"{url}/x" for url in servers], seconds, rate)
+        through = await _send(
+            [f"{url}/v1/services/catalogue/x" for url in hosts], seconds, rate
+        )
+    finally:
+        await fleet.close()
+    added = {
+        name: round(through["latency_ms"][name] - value, 3)
+        for name, value in direct["latency_ms"].items()
+    }
+    return {
+        "rate_per_s": rate,
+        "direct": direct,
+        "through": through,
+        "added_ms": added,
+    }
+
+
+def _find_rate(shape: shapes.Shape, known: model.Configuration) -> float:
+    slots = sum(server.slots for server in known.servers)
+    return slots / (shape.services[0].service_ms / 1000) / 2
+
+
+async def _send(
+    urls: list[str], seconds: float, rate: float
+) -> dict[str, Any]:
+    plans = [
+        load.Plan(
+            urls=urls,
+            seconds=seconds,
+            rate=rate / GENERATORS,
+            key=f"{ACCOUNT}-key",
+        )
+        for _ in range(GENERATORS)
+    ]
+    return load.merge_results(await load.run_generators(plans))
--- a/src/cowslipshift/coordination/roster.py
+++ b/src/cowslipshift/coordination/roster.py
@@ -61,6 +61,7 @@
         acknowledged_s: Send time of the last heartbeat it acknowledged.
         counts_me: Incarnation of this host that it counts as a member.
         refused_s: Since when connections to it are refused.
+        refused_last_s: When a connection to it was last refused.
         fenced_s: When its fence was written or read.
     """
 
@@ -71,6 +72,7 @@
         "heard_s",
         "incarnation",
         "name",
+        "refused_last_s",
         "refused_s",
         "standing",
     )
@@ -83,6 +85,7 @@
         self.acknowledged_s: float | None = None
         self.counts_me = 0
         self.refused_s: float | None = None
+        self.refused_last_s = float("-inf")
         self.fenced_s: float | None = None
 
 
@@ -206,6 +209,7 @@
             return
         if peer.refused_s is None:
             peer.refused_s = now
+        peer.refused_last_s = now
         if now - peer.refused_s >= GONE_AFTER_S:
             self._set_standing(peer, Standing.GONE)
 
@@ -215,18 +219,27 @@
         if peer is not None:
             peer.refused_s = None
 
-    def note_fence(self, name: str, incarnation: int, now: float) -> None:
-        """Record a fence read from, or written to, the store."""
+    def note_fence(self, name: str, number: int, now: float) -> None:
+        """Record a fence read from, or written to, the store.
+
+        A fence that is older than this incarnation proves nothing: the
+        peer may have rejoined since, with the consent of others only.
+
+        Args:
+            name: The fenced host.
+            number: Its processes up to this number are fenced.
+            now: Monotonic time in seconds.
+        """
         if name == self.me:
-            if incarnation >= self.incarnation:
-                self._rejoin(incarnation + 1, now)
+            if number >= self.incarnation:
+                self._rejoin(number + 1, now)
             return
         peer = self.peers.get(name)
-        if peer is None or incarnation < peer.incarnation:
+        if peer is None or number < max(peer.incarnation, self.incarnation):
             return
         if peer.fenced_s is None:
             peer.fenced_s = now
-            peer.incarnation = incarnation
+            peer.incarnation = number
 
     def tick(self, now: float) -> None:
         """Notice pauses of this process and silence of peers."""
@@ -237,8 +250,8 @@
         for peer in self.peers.values():
             self._check_peer(peer, now)
 
-    def find_silent(self, now: float) -> list[tuple[str, int]]:
-        """Return the peers to fence, with their incarnations.
+    def find_silent(self, now: float) -> list[str]:
+        """Return the peers to fence.
 
         A host that was fenced itself leaves this to others for a while, so
         that two hosts that cannot hear each other do not take turns.
@@ -246,7 +259,7 @@
         if now < self._may_fence_s:
             return []
         return [
-            (peer.name, peer.incarnation)
+            peer.name
             for peer in self.peers.values()
             if peer.standing is Standing.SILENT and peer.fenced_s is None
         ]
@@ -262,15 +275,13 @@
                 peer.fenced_s = now
 
     def needs_fence_check(self, now: float) -> bool:
-        """Tell whether this host must ask the store for fences on it."""
+        """Tell whether this host must ask the store for fences on it.
+
+        It must unless each peer either acknowledged it lately or is known
+        to be dead: any other peer may have fenced it.
+        """
         return any(
-            peer.standing not in _REMOVED
-            and (
-                peer.acknowledged_s is None
-                or now - peer.acknowledged_s > ACKNOWLEDGEMENT_LIMIT_S
-                or peer.counts_me != self.incarnation
-            )
-            for peer in self.peers.values()
+            not self._is_accounted(peer, now) for peer in self.peers.values()
         )
 
     def is_superseded(self) -> bool:
@@ -279,6 +290,11 @@
             peer.counts_me > self.incarnation for peer in self.peers.values()
         )
 
+    def outrank(self, now: float) -> None:
+        """Take a number above all that peers count for this host."""
+        counted = max(peer.counts_me for peer in self.peers.values())
+        self._rejoin(max(counted, self.incarnation) + 1, now)
+
     def try_resume(self, now: float, store_cleared: bool) -> None:
         """Go on after a pause, or rejoin if a peer removed this host.
 
@@ -343,6 +359,16 @@
         self._suspended_s = now
         return True
 
+    def _is_accounted(self, peer: Peer, now: float) -> bool:
+        if now - peer.refused_last_s <= ACKNOWLEDGEMENT_LIMIT_S:
+            return True
+        return (
+            peer.standing is Standing.LIVE
+            and peer.counts_me == self.incarnation
+            and peer.acknowledged_s is not None
+            and now - peer.acknowledged_s <= ACKNOWLEDGEMENT_LIMIT_S
+        )
+
     def _is_current(self, peer: Peer, incarnation: int) -> bool:
         return (
             incarnation == peer.incarnation
@@ -364,9 +390,10 @@
         for peer in self.peers.values():
             peer.counts_me = 0
             peer.acknowledged_s = None
-            if peer.standing is Standing.FENCED:
+            if peer.standing in _REMOVED:
                 peer.standing = Standing.UNKNOWN
                 peer.fenced_s = None
+                peer.refused_s = None
                 peer.heard_s = now
         self.epoch += 1
 
--- a/src/cowslipshift/daemon/membership.py
+++ b/src/cowslipshift/daemon/membership.py
@@ -21,6 +21,16 @@
 
 TICK_S = 0.1
 FENCE_CHECK_INTERVAL_S = 2.0
+FENCE_LEAD_MS = 2000
+"""Largest difference between hosts' clocks. Numbers of processes are the
+milliseconds of their start, and a fence covers all that began before it.
+"""
+
+YOUNG_S = 10.0
+"""Age up to which a process outranks the number that peers know, which a
+former process may have raised; an older one has been replaced.
+"""
+
 STORE_WAIT_S = 5.0
 """Time after a pause in which peers can say that they removed this host,
 where the store cannot be asked.
@@ -149,6 +159,7 @@
         self._on_pause: list[Callable[[], None]] = []
         self._log = logs.EventLog("membership")
         self._was_suspended = False
+        self._started_s = clock.now()
 
     def add_ticker(self, ticker: Ticker) -> None:
         """Tick something with the roster."""
@@ -169,7 +180,10 @@
         now = self._clock.now()
         self._roster.tick(now)
         if self._roster.is_superseded():
-            self._on_superseded()
+            if now - self._started_s < YOUNG_S:
+                self._roster.outrank(now)
+            else:
+                self._on_superseded()
         suspended = self._roster.is_suspended
         if suspended and not self._was_suspended:
             self._log.warn("paused")
@@ -188,9 +202,8 @@
         while True:
             await asyncio.sleep(FENCE_CHECK_INTERVAL_S)
             now = self._clock.now()
-            silent = self._roster.find_silent(now)
             needed = self._roster.needs_fence_check(now)
-            if silent or needed or self._roster.is_suspended:
+            if needed or self._roster.is_suspended:
                 await self._settle_fences()
 
     async def _settle_fences(self) -> None:
--- a/tests/fuzz/centre.py
+++ b/tests/fuzz/centre.py
@@ -16,6 +16,8 @@
 FENCE_EVERY = 20
 LINK_SILENT_S = 3.0
 STORE_WAIT_S = 5.0
+YOUNG_S = 10.0
+FENCE_LEAD_MS = 2000
 
 
 class Server:
@@ -53,6 +55,7 @@
         self.name = name
         self.paused = False
         self.running: dict[str, list[float]] = {}
+        self.began_s = self.now
         self.roster = rosters.Roster(name, incarnation, self.now)
         self.table = homes.HomeTable(self.roster, clean)
         self.roster.set_configured(centre.names, self.now)
@@ -99,14 +102,18 @@
         self.links: dict[tuple[str, str], Link] = {}
         self.store_up = True
         self.fences: dict[str, int] = {}
-        self.incarnations = 0
+        self.last_number = 0
         for name in self.names:
             self.start(name)
 
+    @property
+    def now_ms(self) -> int:
+        return 1 + int(self.now * 1000)
+
     def start(self, name: str) -> None:
-        self.incarnations += 100
+        self.last_number = max(self.last_number + 1, self.now_ms)
         clean = self.clean[name] and self.store_up
-        self.processes[name] = Process(self, name, self.incarnations, clean)
+        self.processes[name] = Process(self, name, self.last_number, clean)
         self.clean[name] = False
         for pair in list(self.links):
             if name in pair:
@@ -140,6 +147,9 @@
             return
         self.receive(name)
         process.roster.tick(process.now)
+        if process.roster.is_superseded():
+            assert process.now - process.began_s < YOUNG_S
+            process.roster.outrank(process.now)
         process.roster.try_resume(process.now, store_cleared=False)
         process.table.refresh(process.now)
         if self.steps % PROBE_EVERY == 0:
@@ -233,16 +243,16 @@
     def settle_fences(self, name: str) -> None:
         process = self.processes[name]
         roster = process.roster
-        silent = roster.find_silent(process.now)
         needed = roster.needs_fence_check(process.now)
-        if not silent and not needed and not roster.is_suspended:
+        if not needed and not roster.is_suspended:
             return
         if self.store_up:
             self.obey(process)
             if not roster.is_suspended:
-                for other, number in roster.find_silent(process.now):
-                    if self.fences.get(other, -1) < number:
-                        self.fences[other] = number
+                for other in roster.find_silent(process.now):
+                    known = self.fences.get(other, 0)
+                    number = self.now_ms + FENCE_LEAD_MS
+                    self.fences[other] = max(number, known + 1)
                 self.obey(process)
         else:
             roster.note_store_failure(process.now)
