System tests, cheaper logs, silent connections told from slow servers

Cause: at load a try was given up after eight usual latencies and its slot kept until the deadline, so that a server slow for all lost its slots one by one. Change: a try is silent only if much later ones are answered, or half of its time is over. The word that a host leaves lost to the word that it lives, being smaller; versions now order them. A host reports at once when its slots come or go, and a linked host that has not reported is worth trying.

--- a/bench/requests.py
+++ b/bench/requests.py
@@ -7,12 +7,13 @@
 import msgspec
 
 from bench import load
-from cowslipshift.config import model
 from cowslipshift.standins import localfleet
 from cowslipshift.standins import shapes
 
 ACCOUNT = "bench"
 GENERATORS = 2
+SATURATION_S = 3.0
+CONNECTIONS = 12
 
 ONE_HOST = shapes.Shape(
     places={"north": {"north-a": 1}},
@@ -36,11 +37,11 @@
         await fleet.start()
         servers = [server.url for server in fleet.configuration.servers]
         hosts = [host.url for host in fleet.hosts.values()]
-        rate = _find_rate(shape, fleet.configuration)
+        paths = [f"{url}/v1/services/catalogue/x" for url in hosts]
+        full = await _send(paths, SATURATION_S, 0.0)
+        rate = round(full["answered_per_s"] / 2)
         direct = await _send([f"{url}/x" for url in servers], seconds, rate)
-        through = await _send(
-            [f"{url}/v1/services/catalogue/x" for url in hosts], seconds, rate
-        )
+        through = await _send(paths, seconds, rate)
     finally:
         await fleet.close()
     added = {
@@ -48,6 +49,7 @@
         for name, value in direct["latency_ms"].items()
     }
     return {
+        "saturation_per_s": full["answered_per_s"],
         "rate_per_s": rate,
         "direct": direct,
         "through": through,
@@ -55,11 +57,6 @@
     }
 
 
-def _find_rate(shape: shapes.Shape, known: model.Configuration) -> float:
-    slots = sum(server.slots for server in known.servers)
-    return slots / (shape.services[0].service_ms / 1000) / 2
-
-
 async def _send(
     urls: list[str], seconds: float, rate: float
 ) -> dict[str, Any]:
@@ -68,6 +65,7 @@
             urls=urls,
             seconds=seconds,
             rate=rate / GENERATORS,
+            connections=CONNECTIONS,
             key=f"{ACCOUNT}-key",
         )
         for _ in range(GENERATORS)
--- a/src/cowslipshift/coordination/homes.py
+++ b/src/cowslipshift/coordination/homes.py
@@ -135,11 +135,22 @@
             total: Its whole size, such as a backend server's slots.
             now: Monotonic time in seconds.
         """
-        may_act = self._view.may_act(now)
+        if not self.may_act(now):
+            return 0
+        return self.count_owned(resource, total, now)
+
+    def may_act(self, now: float) -> bool:
+        """Tell whether this host may use what it owns right now."""
+        return self._view.may_act(now)
+
+    def count_owned(self, resource: str, total: int, now: float) -> int:
+        """Return the usable part, given that this host may act."""
         self.refresh(now)
         home = self._homes.get(resource)
-        if home is None or not may_act or now < home.ready_s:
+        if home is None or now < home.ready_s:
             return 0
+        if not home.lingering:
+            return total
         return max(0, total - home.count_lingering(now))
 
     def is_mine(self, resource: str, now: float) -> bool:
--- a/src/cowslipshift/coordination/roster.py
+++ b/src/cowslipshift/coordination/roster.py
@@ -62,13 +62,15 @@
         counts_me: Incarnation of this host that it counts as a member.
         refused_s: Since when connections to it are refused.
         refused_last_s: When a connection to it was last refused.
-        fenced_s: When its fence was written or read.
+        fenced_up_to: Its processes up to this number have to rejoin.
+        fenced_s: Since when the time runs in which it reads its fence.
     """
 
     __slots__ = (
         "acknowledged_s",
         "counts_me",
         "fenced_s",
+        "fenced_up_to",
         "heard_s",
         "incarnation",
         "name",
@@ -86,8 +88,14 @@
         self.counts_me = 0
         self.refused_s: float | None = None
         self.refused_last_s = float("-inf")
+        self.fenced_up_to = 0
         self.fenced_s: float | None = None
 
+    @property
+    def is_fenced(self) -> bool:
+        """Whether its last known process has to rejoin."""
+        return self.incarnation <= self.fenced_up_to
+
 
 class Roster:
     """This host's view of its data centre.
@@ -158,10 +166,17 @@
     def counts(self, name: str) -> int:
         """Return the incarnation of a peer that counts as a member, or 0."""
         peer = self.peers.get(name)
-        if peer is None or peer.standing in _REMOVED:
+        if peer is None or peer.standing in _REMOVED or peer.is_fenced:
             return 0
         return peer.incarnation
 
+    def find_fence(self, name: str) -> int:
+        """Return the number up to which a peer is fenced, or 0."""
+        peer = self.peers.get(name)
+        if peer is None or not peer.is_fenced:
+            return 0
+        return peer.fenced_up_to
+
     def note_heartbeat(
         self, name: str, incarnation: int, leaving: bool, now: float
     ) -> bool:
@@ -173,7 +188,7 @@
         peer = self.peers.get(name)
         if peer is None:
             peer = self.peers[name] = Peer(name, now)
-        joined = incarnation > peer.incarnation
+        joined = incarnation > max(peer.incarnation, peer.fenced_up_to)
         if not joined and not self._is_current(peer, incarnation):
             return False
         peer.incarnation = incarnation
@@ -237,9 +252,9 @@
         peer = self.peers.get(name)
         if peer is None or number < max(peer.incarnation, self.incarnation):
             return
+        peer.fenced_up_to = max(peer.fenced_up_to, number)
         if peer.fenced_s is None:
             peer.fenced_s = now
-            peer.incarnation = number
 
     def tick(self, now: float) -> None:
         """Notice pauses of this process and silence of peers."""
@@ -372,7 +387,7 @@
     def _is_current(self, peer: Peer, incarnation: int) -> bool:
         return (
             incarnation == peer.incarnation
-            and peer.fenced_s is None
+            and not peer.is_fenced
             and peer.standing not in _REMOVED
         )
 
--- a/src/cowslipshift/daemon/factory.py
+++ b/src/cowslipshift/daemon/factory.py
@@ -181,6 +181,7 @@
         centre,
         host.load_board,
         running.measure_load,
+        network.is_linked,
         origin.incarnation,
     )
     routing = router.Router(
--- a/src/cowslipshift/daemon/host.py
+++ b/src/cowslipshift/daemon/host.py
@@ -33,6 +33,9 @@
 """Kind of facts that tell whether a process of a host leaves."""
 
 
+IS_LIVE = "live"
+IS_LEAVING = "leaving"
+
 NUDGE_INTERVAL_S = 0.05
 
 
@@ -96,6 +99,7 @@
         self._slots = slots
         self._accounts = accounts
         self.load_board = load_board
+        self._reported: dict[str, int] = {}
         self._nudged: dict[str, float] = {}
         self._log = logs.EventLog("host")
         self._roles: Roles | None = None
@@ -158,6 +162,18 @@
         self._accounts.refresh(now)
         self.roles.allowance.refresh()
         self.roles.dispatcher.serve_queues()
+        self._report_slots()
+
+    def _report_slots(self) -> None:
+        """Tell others at once when slots come or go."""
+        usable = {
+            load.service: load.usable
+            for load in self.roles.dispatcher.measure_loads()
+        }
+        if usable != self._reported:
+            self._reported = usable
+            for host in self.network.list_linked():
+                self.network.send_heartbeat(host)
 
     def find_address(self, host: str) -> str | None:
         """Return a host's peer address."""
@@ -175,10 +191,10 @@
         if host == self.settings.name and self.roster.is_leaving:
             return True
         own = self.board.get_fact(LEAVING, host)
-        if own is not None and own.value == "leaving":
+        if own is not None and own.value == IS_LEAVING:
             return True
         listed = self.board.get_fact(storewatcher.LISTED, host)
-        return listed is not None and listed.value == "leaving"
+        return listed is not None and listed.value == IS_LEAVING
 
     def is_reachable(self, host: str) -> bool:
         """Tell whether a host is this one or linked."""
@@ -203,15 +219,22 @@
 
     def note_fact(self, fact: facts.Fact) -> None:
         """Follow a new fact."""
-        if fact.kind in (LEAVING, storewatcher.LISTED) and self._roles:
+        if self._roles is None:
+            return
+        if fact.kind in (LEAVING, storewatcher.LISTED):
             self._roles.directory.forget_answers()
+        if fact.kind == storewatcher.LISTED:
+            is_leaving = fact.value == IS_LEAVING
+            self._roles.dispatcher.note_listing(fact.subject, is_leaving)
 
     def announce(self, state: str) -> None:
-        """Tell all hosts whether this process leaves."""
+        """Tell all hosts whether this process leaves.
+
+        Of the two words of one process the later one stands.
+        """
+        version = 2 * self.roster.incarnation + (state == IS_LEAVING)
         self.roles.relay.publish(
-            facts.Fact(
-                LEAVING, self.settings.name, self.roster.incarnation, state
-            )
+            facts.Fact(LEAVING, self.settings.name, version, state)
         )
 
     def build_heartbeat(
@@ -232,6 +255,7 @@
             sequence=sequence,
             heard_sequence=heard_sequence,
             counts_you=self.roster.counts(host),
+            fenced_up_to=self.roster.find_fence(host),
             leaving=self.roster.is_leaving,
             revision=self.keeper.revision,
             fact_digest=self.board.digest,
@@ -281,6 +305,10 @@
             joined = self.roster.note_heartbeat(
                 host, heartbeat.incarnation, heartbeat.leaving, now
             )
+            if heartbeat.fenced_up_to:
+                self.roster.note_fence(
+                    self.settings.name, heartbeat.fenced_up_to, now
+                )
             self._slots.accept_handovers(host, heartbeat.handovers, now)
             self._accounts.accept_handovers(host, heartbeat.handovers, now)
             if sent_s is not None:
--- a/src/cowslipshift/daemon/main.py
+++ b/src/cowslipshift/daemon/main.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import os
 import signal
 import sys
@@ -59,7 +60,7 @@
         for fault in error.faults:
             print(f"cowslipshiftd: [{error.code}] {fault}", file=sys.stderr)
         sys.exit(USAGE_STATUS)
-    logs.install_handler(settings.log_level, settings.name)
+    handler = logs.install_handler(settings.log_level, settings.name)
     with aiomisc.entrypoint(
         service.HostService(settings=settings),
         log_config=False,
@@ -68,14 +69,20 @@
         catch_signals=(signal.SIGTERM, signal.SIGINT),
         shutdown_timeout=settings.drain_s + SHUTDOWN_MARGIN_S,
     ) as loop:
-        loop.run_until_complete(_wait_for_stop(loop))
+        loop.run_until_complete(_wait_for_stop(loop, handler))
 
 
-async def _wait_for_stop(loop: asyncio.AbstractEventLoop) -> None:
+async def _wait_for_stop(
+    loop: asyncio.AbstractEventLoop, handler: logs.LineHandler
+) -> None:
     stopped = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopped.set)
-    await stopped.wait()
+    while not stopped.is_set():
+        handler.flush()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(logs.FLUSH_INTERVAL_S):
+                await stopped.wait()
 
 
 def main() -> None:
--- a/src/cowslipshift/daemon/membership.py
+++ b/src/cowslipshift/daemon/membership.py
@@ -213,10 +213,10 @@
             cleared = True
             fences = _read_fences(known.value if known else b"{}")
             self._obey(fences)
+            number = int(self._clock.wall() * 1000) + FENCE_LEAD_MS
             wanted = {
-                name: number
-                for name, number in self._roster.find_silent(self._clock.now())
-                if fences.get(name, -1) < number
+                name: max(number, fences.get(name, 0) + 1)
+                for name in self._roster.find_silent(self._clock.now())
             }
             if wanted and not self._roster.is_suspended:
                 await self._write(fences | wanted, known)
--- a/src/cowslipshift/daemon/service.py
+++ b/src/cowslipshift/daemon/service.py
@@ -12,6 +12,7 @@
 import aiomisc
 
 from cowslipshift.daemon import factory
+from cowslipshift.daemon import host as hosts
 from cowslipshift.daemon import membership
 from cowslipshift.daemon import settings as daemon_settings
 from cowslipshift.store import exceptions as store_exceptions
@@ -52,7 +53,7 @@
         await parts.watcher.read_once()
         self._start_tasks()
         self._caller_runner = await _listen(parts.callers, settings.listen)
-        parts.host.announce("live")
+        parts.host.announce(hosts.IS_LIVE)
         self._log.info(
             "started",
             listen=settings.listen,
@@ -67,7 +68,7 @@
         loop = asyncio.get_running_loop()
         until_s = loop.time() + self.settings.drain_s
         self._log.info("leaving")
-        parts.host.announce("leaving")
+        parts.host.announce(hosts.IS_LEAVING)
         await asyncio.sleep(LEAVE_NOTICE_S)
         parts.host.roster.start_leaving()
         self._send_heartbeats()
--- a/src/cowslipshift/peers/messages.capnp
+++ b/src/cowslipshift/peers/messages.capnp
@@ -30,6 +30,7 @@
   factDigest @7 :UInt64;
   handovers @8 :List(Handover);
   loads @9 :List(ServiceLoad);
+  fencedUpTo @10 :UInt64;
 }
 
 struct ConfigurationRequest {
--- a/src/cowslipshift/peers/messages.py
+++ b/src/cowslipshift/peers/messages.py
@@ -39,6 +39,7 @@
         heard_sequence: Last heartbeat heard on this link.
         counts_you: Incarnation of the receiver that the sender counts as a
             member, or 0.
+        fenced_up_to: Number up to which the receiver is fenced, or 0.
         revision: Configuration in force at the sender.
         fact_digest: Digest of the sender's facts.
         handovers: What the sender gave to the receiver.
@@ -53,6 +54,7 @@
     leaving: bool
     revision: int
     fact_digest: int
+    fenced_up_to: int = 0
     handovers: list[homes.Handover] = []
     loads: list[ServiceLoad] = []
 
--- a/src/cowslipshift/routing/loads.py
+++ b/src/cowslipshift/routing/loads.py
@@ -45,6 +45,11 @@
 
     def __init__(self) -> None:
         self._loads: dict[tuple[str, str], HostLoad] = {}
+        self._reported: set[str] = set()
+
+    def has_report(self, host: str) -> bool:
+        """Tell whether a host has reported since it was linked."""
+        return host in self._reported
 
     def note_report(
         self, host: str, load: messages.ServiceLoad, now: float
@@ -60,6 +65,7 @@
         self, host: str, loads: list[messages.ServiceLoad], now: float
     ) -> None:
         """Take a whole report; services that it lacks have no slots."""
+        self._reported.add(host)
         named = {load.service for load in loads}
         for (known, service), entry in self._loads.items():
             if known == host and service not in named:
@@ -69,6 +75,7 @@
 
     def forget_host(self, host: str) -> None:
         """Drop the reports of a host that went."""
+        self._reported.discard(host)
         for (known, _), entry in self._loads.items():
             if known == host:
                 entry.usable = 0
--- a/src/cowslipshift/routing/selection.py
+++ b/src/cowslipshift/routing/selection.py
@@ -47,6 +47,8 @@
         data_centre: Its data centre.
         board: Loads of other hosts.
         measure_own: Returns this host's load of a service.
+        is_linked: Tells whether a link to a host is open; a linked host that
+            has not reported yet is worth trying.
         seed: Seed of the tie-breaking random numbers.
     """
 
@@ -56,12 +58,14 @@
         data_centre: str,
         board: loads.LoadBoard,
         measure_own: Callable[[str], messages.ServiceLoad],
+        is_linked: Callable[[str], bool],
         seed: int,
     ) -> None:
         self._host = host
         self._data_centre = data_centre
         self._board = board
         self._measure_own = measure_own
+        self._is_linked = is_linked
         self._random = random.Random(seed)
 
     def list_candidates(
@@ -128,7 +132,8 @@
             return 2, (own.in_use + own.queued) / own.usable, tie
         load = self._board.get_load(host, service, now)
         if load is None:
-            return None
+            is_new = self._is_linked(host) and not self._board.has_report(host)
+            return (2, 1.0, tie) if is_new else None
         distance = 0.0 if near else 0.25
         rank = 1 if load.free > 0 else 2
         return rank, load.pressure + distance, tie
--- a/src/cowslipshift/serving/backends.py
+++ b/src/cowslipshift/serving/backends.py
@@ -14,11 +14,17 @@
 """Largest part of a service's servers that may be ejected here at once."""
 
 DRAIN_RECHECK_S = 5.0
+SUSPECT_S = 30.0
 LATENCY_WEIGHT = 0.1
 CANCEL_GRACE_S = 0.25
 """Time in which a backend server notices a closed connection."""
 
 
+def name_resource(server: str) -> str:
+    """Return the resource that stands for a server's slots."""
+    return f"server:{server}"
+
+
 class Backend:
     """One backend server as seen by the host that owns its slots.
 
@@ -26,6 +32,7 @@
         running: Requests in flight from this host.
         latency_s: Smoothed time to answer.
         ejected_until_s: No work before this moment.
+        suspect_until_s: Until then kept connections may be silent.
         warm_from_s: When its ramp began; ``None`` if it is warm.
     """
 
@@ -33,11 +40,14 @@
         "_eject_s",
         "_failures",
         "_held",
+        "_newest_answered_s",
         "draining_until_s",
         "ejected_until_s",
         "latency_s",
+        "resource",
         "running",
         "server",
+        "suspect_until_s",
         "warm_from_s",
     )
 
@@ -45,6 +55,7 @@
         self, server: model.Server, now: float, is_cold: bool
     ) -> None:
         self.server = server
+        self.resource = name_resource(server.name)
         self.running = 0
         self.latency_s = 0.0
         self.ejected_until_s = 0.0
@@ -53,6 +64,8 @@
         self._failures = 0
         self._eject_s = EJECT_MIN_S
         self._held: list[float] = []
+        self.suspect_until_s = 0.0
+        self._newest_answered_s = 0.0
 
     def count_used(self, now: float) -> int:
         """Return the slots in use, counting those of lost requests."""
@@ -73,12 +86,7 @@
         )
 
     def limit_slots(self, usable: int, now: float, ramp_s: float) -> int:
-        """Return the slots to use, given how warm the server is.
-
-        A server that was ejected gets one request at a time at first.
-        """
-        if self.is_out(now):
-            return 0
+        """Return the slots to use while the server gets warm."""
         if self.warm_from_s is None or ramp_s <= 0.0:
             return usable
         part = (now - self.warm_from_s) / ramp_s
@@ -89,6 +97,8 @@
 
     def note_answer(self, latency_s: float, failed: bool, now: float) -> None:
         """Learn from an answer."""
+        started_s = now - latency_s
+        self._newest_answered_s = max(self._newest_answered_s, started_s)
         weight = LATENCY_WEIGHT if self.latency_s else 1.0
         self.latency_s += weight * (latency_s - self.latency_s)
         if failed:
@@ -97,6 +107,18 @@
         self._failures = 0
         self._eject_s = EJECT_MIN_S
 
+    def is_overtaken(self, started_s: float, now: float) -> bool:
+        """Tell whether a request waits while much later ones are answered.
+
+        A server that is slow for all is not silent: nothing started in the
+        second half of the wait would have been answered either.
+        """
+        return self._newest_answered_s > (started_s + now) / 2
+
+    def suspect_connections(self, now: float) -> None:
+        """Open a connection for each request until the kept ones end."""
+        self.suspect_until_s = now + SUSPECT_S
+
     def note_failure(self) -> None:
         """Learn from a request that got no answer."""
         self._failures += 1
--- a/src/cowslipshift/serving/dispatcher.py
+++ b/src/cowslipshift/serving/dispatcher.py
@@ -82,6 +82,34 @@
     """A server answered with a failure and another one may be tried."""
 
 
+class _SilenceWatch:
+    """Calls a check now and then until it is cancelled."""
+
+    __slots__ = ("_check", "_handle", "_interval_s", "_loop")
+
+    def __init__(
+        self, loop: asyncio.AbstractEventLoop, check: Callable[[], None]
+    ) -> None:
+        self._loop = loop
+        self._check = check
+        self._interval_s = 0.0
+        self._handle: asyncio.TimerHandle | None = None
+
+    def start(self, interval_s: float) -> None:
+        """Begin to call the check."""
+        self._interval_s = interval_s
+        self._handle = self._loop.call_later(interval_s, self._run)
+
+    def cancel(self) -> None:
+        """Stop calling it."""
+        if self._handle is not None:
+            self._handle.cancel()
+
+    def _run(self) -> None:
+        self.start(self._interval_s)
+        self._check()
+
+
 class Dispatcher:
     """Queues requests for slots and runs them.
 
@@ -115,6 +143,7 @@
         self._budgets: dict[str, budgets.RetryBudget] = {}
         self._listeners: list[OutcomeListener] = []
         self._guard: VersionGuard | None = None
+        self._listed: set[str] = set()
 
     def add_listener(self, listener: OutcomeListener) -> None:
         """Tell a listener of all outcomes from now on."""
@@ -124,6 +153,13 @@
         """Ask a guard before a server gets a request."""
         self._guard = guard
 
+    def note_listing(self, server: str, is_leaving: bool) -> None:
+        """Follow the platform's list of leaving hosts."""
+        if is_leaving:
+            self._listed.add(server)
+        else:
+            self._listed.discard(server)
+
     def apply(self, atlas: atlases.Atlas, data_centre: str) -> None:
         """Follow a new configuration."""
         now = self._clock.now()
@@ -161,28 +197,21 @@
 
     def measure_loads(self) -> list[messages.ServiceLoad]:
         """Return how busy the owned slots of each service are."""
-        now = self._clock.now()
-        loads = []
-        for service, members in self._services.items():
-            usable = used = 0
-            for backend in members:
-                limit = self._limit_slots(backend, now)
-                usable += limit
-                used += min(limit, backend.count_used(now))
-            queue = self._queues.get(service)
-            queued = len(queue) if queue is not None else 0
-            if usable or used or queued:
-                loads.append(
-                    messages.ServiceLoad(service, usable, used, queued)
-                )
-        return loads
+        loads = [self.measure_load(service) for service in self._services]
+        return [
+            load for load in loads if load.usable or load.in_use or load.queued
+        ]
 
     def measure_load(self, service: str) -> messages.ServiceLoad:
         """Return how busy the owned slots of one service are."""
-        for load in self.measure_loads():
-            if load.service == service:
-                return load
-        return messages.ServiceLoad(service, 0, 0, 0)
+        now = self._clock.now()
+        usable = used = 0
+        for backend, limit in self._list_limits(service, now):
+            usable += limit
+            used += min(limit, backend.count_used(now))
+        queue = self._queues.get(service)
+        queued = len(queue) if queue is not None else 0
+        return messages.ServiceLoad(service, usable, used, queued)
 
     def serve_queues(self) -> None:
         """Give free slots to waiting requests."""
@@ -318,8 +347,8 @@
         now: float,
     ) -> None:
         atlas = self._require_atlas()
-        members = self._services.get(call.service, [])
-        slots = sum(self._limit_slots(backend, now) for backend in members)
+        limits = self._list_limits(call.service, now)
+        slots = sum(limit for _, limit in limits)
         if slots == 0:
             raise refusals.refuse_busy(
                 f"host {self._host} has no slots of service {call.service}"
@@ -329,7 +358,7 @@
         )
         if not queue.allows(call.account, weight, int(per_slot * slots)):
             raise refusals.refuse_busy("too many requests wait already")
-        latency_s = max(backend.latency_s for backend in members)
+        latency_s = max(backend.latency_s for backend, _ in limits)
         rounds = 1 + math.floor(len(queue) / slots)
         if now + latency_s * (rounds + 1) > call.deadline_s:
             raise refusals.refuse_busy(
@@ -352,14 +381,27 @@
             assert isinstance(backend, backends.Backend)
             self._release(backend, service)
 
-    def _limit_slots(self, backend: backends.Backend, now: float) -> int:
-        usable = self._table.count_usable(
-            f"server:{backend.server.name}", backend.server.slots, now
-        )
-        if usable == 0:
+    def _list_limits(
+        self, service: str, now: float
+    ) -> list[tuple[backends.Backend, int]]:
+        """Return the servers of a service with the slots to use."""
+        if not self._table.may_act(now):
+            return []
+        limits = []
+        for backend in self._services.get(service, ()):
+            usable = self._table.count_owned(
+                backend.resource, backend.server.slots, now
+            )
+            if usable > 0:
+                limits.append((backend, self._ramp(backend, usable, now)))
+        return limits
+
+    def _ramp(self, backend: backends.Backend, usable: int, now: float) -> int:
+        if backend.is_out(now) or backend.server.name in self._listed:
             return 0
-        atlas = self._require_atlas()
-        ramp_s = atlas.settings.resolve(
+        if backend.warm_from_s is None:
+            return usable
+        ramp_s = self._require_atlas().settings.resolve(
             "cold_ramp_s",
             self._clock.wall(),
             service=backend.server.service,
@@ -371,11 +413,10 @@
         self, call: calls.Call | None, now: float, service: str = ""
     ) -> backends.Backend | None:
         """Take a slot of the least busy server that may run the request."""
-        members = self._services.get(call.service if call else service, [])
         best: backends.Backend | None = None
         best_score = (1.0, 0.0)
-        for backend in members:
-            limit = self._limit_slots(backend, now)
+        name = call.service if call else service
+        for backend, limit in self._list_limits(name, now):
             used = backend.count_used(now)
             if used >= limit:
                 continue
@@ -404,8 +445,9 @@
             return True
         owned = used = 0
         for backend in self._backends.values():
-            name = f"server:{backend.server.name}"
-            owned += self._table.count_usable(name, backend.server.slots, now)
+            owned += self._table.count_usable(
+                backend.resource, backend.server.slots, now
+            )
             used += backend.count_used(now)
         part = region.capacity * owned // max(1, region.count_slots())
         return used < part
@@ -452,7 +494,8 @@
         budget: budgets.RetryBudget,
     ) -> calls.Reply:
         started_s = self._clock.now()
-        pooled = call.idempotent and not fresh
+        suspect = started_s < backend.suspect_until_s
+        pooled = call.idempotent and not fresh and not suspect
         try:
             response = await self._open(call, backend, pooled, started_s)
         except aiohttp.ClientConnectorError as error:
@@ -461,6 +504,8 @@
             raise _NotStartedError(str(error)) from error
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
             self._note_lost(call, backend)
+            if pooled:
+                backend.suspect_connections(started_s)
             raise _LostError(repr(error), blames=not pooled) from error
         except asyncio.CancelledError:
             backend.hold(self._clock.now() + backends.CANCEL_GRACE_S)
@@ -489,23 +534,50 @@
         now: float,
     ) -> aiohttp.ClientResponse:
         remaining_s = call.deadline_s - now
-        limit_s = remaining_s
-        if pooled and call.body.is_replayable:
-            usual_s = max(MIN_TRY_S, TRY_LATENCIES * backend.latency_s)
-            if usual_s * 2 < remaining_s:
-                limit_s = usual_s
         session = self._sessions.pooled if pooled else self._sessions.fresh
         url = yarl.URL(
             backend.server.url.rstrip("/") + call.path, encoded=True
         )
-        async with asyncio.timeout(limit_s):
-            return await session.request(
-                call.method,
-                url,
-                headers=self._build_headers(call, remaining_s),
-                data=call.body.open(),
-                allow_redirects=False,
-            )
+        async with asyncio.timeout(remaining_s) as timeout:
+            watch = self._watch_silence(call, backend, now, timeout)
+            try:
+                return await session.request(
+                    call.method,
+                    url,
+                    headers=self._build_headers(call, remaining_s),
+                    data=call.body.open(),
+                    allow_redirects=False,
+                )
+            finally:
+                watch.cancel()
+
+    def _watch_silence(
+        self,
+        call: calls.Call,
+        backend: backends.Backend,
+        started_s: float,
+        timeout: asyncio.Timeout,
+    ) -> _SilenceWatch:
+        """Give up a try whose connection has probably gone silent.
+
+        That is so when later requests are answered, or when half of the
+        time is over and another try would still fit.
+        """
+        loop = asyncio.get_running_loop()
+        usual_s = max(MIN_TRY_S, TRY_LATENCIES * backend.latency_s)
+        half_s = (call.deadline_s - started_s) / 2
+
+        def check() -> None:
+            now = self._clock.now()
+            if not (call.idempotent and call.body.content is not None):
+                return
+            half_over = now - started_s >= half_s > usual_s
+            if half_over or backend.is_overtaken(started_s, now):
+                timeout.reschedule(loop.time())
+
+        watch = _SilenceWatch(loop, check)
+        watch.start(min(usual_s, half_s))
+        return watch
 
     def _build_headers(
         self, call: calls.Call, remaining_s: float
@@ -651,16 +723,7 @@
         service = atlas.services.find_service(name)
         assert service is not None
         for server in servers:
-            holds[f"server:{server.name}"] = service.max_deadline_ms / 1000
+            holds[backends.name_resource(server.name)] = (
+                service.max_deadline_ms / 1000
+            )
     return holds
-
-
-def describe_server(
-    dispatcher: Dispatcher,
-) -> Callable[[str], tuple[int, float]]:
-    """Return a function that tells how much of a slot resource is used."""
-
-    def describe(resource: str) -> tuple[int, float]:
-        return dispatcher.count_running(resource.partition(":")[2]), 0.0
-
-    return describe
--- a/src/cowslipshift/serving/gateway.py
+++ b/src/cowslipshift/serving/gateway.py
@@ -58,6 +58,9 @@
 
 
 CALLER_GONE_STATUS = 499
+MAX_LOOKUP_QUERIES = 20_000
+
+_JSON_HEADERS = {"Content-Type": "application/json"}
 
 
 class _Outcome:
@@ -101,6 +104,7 @@
         self._log = logs.EventLog("gateway")
         self._atlas: atlases.Atlas | None = None
         self._closed = False
+        self._lookups: dict[str, tuple[str, str]] = {}
         self.running = 0
 
     def apply(self, atlas: atlases.Atlas) -> None:
@@ -121,9 +125,7 @@
 
     async def handle_lookup(self, request: web.Request) -> web.Response:
         """Answer which hosts to use for a service."""
-        query = request.query
-        service = query.get("service", "")
-        block = query.get("block") or request.remote or ""
+        service, block = self._parse_lookup(request)
         try:
             raw = self._directory.answer(
                 service, block, self._clock.now(), self._clock.wall()
@@ -132,8 +134,21 @@
             self._metrics.lookups.inc({"outcome": error.code})
             refusal = refusals.Refusal(error.status, error.code, error.message)
             return _build_refusal(refusal, "")
-        self._metrics.lookups.inc({"outcome": "answered"})
-        return web.Response(body=raw, content_type="application/json")
+        self._metrics.count_lookup()
+        return web.Response(body=raw, headers=_JSON_HEADERS)
+
+    def _parse_lookup(self, request: web.Request) -> tuple[str, str]:
+        """Return service and block; queries repeat, so they are kept."""
+        text = request.rel_url.raw_query_string
+        known = self._lookups.get(text)
+        if known is None:
+            query = request.query
+            known = query.get("service", ""), query.get("block", "")
+            if len(self._lookups) >= MAX_LOOKUP_QUERIES:
+                self._lookups.clear()
+            self._lookups[text] = known
+        service, block = known
+        return service, block or request.remote or ""
 
     async def handle_outcome(self, request: web.Request) -> web.Response:
         """Tell what became of an idempotency key."""
--- a/src/cowslipshift/serving/keyed.py
+++ b/src/cowslipshift/serving/keyed.py
@@ -299,6 +299,7 @@
         self, call: calls.Call, table: outcomes.OutcomeTable
     ) -> outcomes.Answer:
         """Run a request to its end, even if its caller goes away."""
+        call.scope = calls.Scope.FLEET
         try:
             reply = await self._run(call)
             body = await reply.read()
--- a/src/cowslipshift/telemetry/logs.py
+++ b/src/cowslipshift/telemetry/logs.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+import atexit
 import json
 import sys
+import time
+from typing import TextIO
 
 import logbook
 
@@ -11,6 +14,9 @@
     "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789._-/:+,@%"
 )
 
+MAX_BUFFERED_LINES = 500
+FLUSH_INTERVAL_S = 0.1
+
 LEVELS = ("debug", "info", "notice", "warning", "error")
 
 
@@ -64,23 +70,63 @@
     return json.dumps(text)
 
 
-def install_handler(level: str, host: str) -> None:
+class LineHandler(logbook.Handler):  # type: ignore[misc]
+    """Writes one line for each record, many lines at a time.
+
+    Lines below warnings wait in a buffer until `flush` is called or the
+    buffer is full; warnings and errors are written at once.
+
+    Args:
+        stream: Where lines go.
+        level: Name of the lowest level that is written.
+        host: The ``host`` field of each line.
+    """
+
+    def __init__(self, stream: TextIO, level: str, host: str) -> None:
+        super().__init__(level=level.upper(), bubble=False)
+        self._stream = stream
+        self._host = host
+        self._lines: list[str] = []
+        self._second: tuple[int, str] = (0, "")
+
+    def emit(self, record: logbook.LogRecord) -> None:
+        """Take a record."""
+        self._lines.append(
+            f"time={self._format_time(time.time())} "
+            f"level={record.level_name} host={self._host} "
+            f"component={record.channel} {record.msg}\n"
+        )
+        is_urgent = record.level >= logbook.WARNING
+        if is_urgent or len(self._lines) >= MAX_BUFFERED_LINES:
+            self.flush()
+
+    def flush(self) -> None:
+        """Write the lines that wait."""
+        lines, self._lines = self._lines, []
+        if lines:
+            self._stream.write("".join(lines))
+            self._stream.flush()
+
+    def _format_time(self, wall_s: float) -> str:
+        second = int(wall_s)
+        if second != self._second[0]:
+            text = time.strftime("%Y-%m-%dT%H:%M:%S", time.gmtime(second))
+            self._second = (second, text)
+        return f"{self._second[1]}.{int((wall_s - second) * 1e6):06}Z"
+
+
+def install_handler(level: str, host: str) -> LineHandler:
     """Send log lines to standard error.
 
     Args:
         level: One of `LEVELS`; lower levels are dropped.
         host: Name of the host, the ``host`` field of each line.
+
+    Returns:
+        The handler, whose ``flush`` is to be called now and then.
     """
-    handler = logbook.StreamHandler(
-        sys.stderr,
-        level=level.upper(),
-        format_string=(
-            "time={record.time:%Y-%m-%dT%H:%M:%S.%f}Z "
-            "level={record.level_name} "
-            f"host={host} "
-            "component={record.channel} {record.message}"
-        ),
-        bubble=False,
-    )
+    handler = LineHandler(sys.stderr, level, host)
     logbook.NullHandler().push_application()
     handler.push_application()
+    atexit.register(handler.flush)
+    return handler
--- a/src/cowslipshift/telemetry/metrics.py
+++ b/src/cowslipshift/telemetry/metrics.py
@@ -27,6 +27,7 @@
     def __init__(self, host: str) -> None:
         self.registry = aioprometheus.Registry()
         self._labels = {"host": host}
+        self._answered = 0
         self.lookups = self._add_counter(
             "cowslipshift_lookups_total", "Look-ups by outcome."
         )
@@ -69,8 +70,14 @@
             "cowslipshift_store_calls_total", "Calls of the store by kind."
         )
 
+    def count_lookup(self) -> None:
+        """Count an answered look-up."""
+        self._answered += 1
+
     def render(self) -> tuple[bytes, dict[str, str]]:
         """Return the exposition text and its HTTP headers."""
+        answered, self._answered = self._answered, 0
+        self.lookups.add({"outcome": "answered"}, answered)
         content, headers = aioprometheus.render(
             self.registry, ["text/plain; version=0.0.4"]
         )
--- a/tests/fuzz/centre.py
+++ b/tests/fuzz/centre.py
@@ -203,6 +203,7 @@
             "incarnation": process.roster.incarnation,
             "sequence": link.sequence,
             "heard": back.heard,
+            "fenced_up_to": process.roster.find_fence(other),
             "counts_you": process.roster.counts(other),
             "leaving": process.roster.is_leaving,
             "handovers": process.table.list_handovers(
@@ -228,6 +229,10 @@
         joined = process.roster.note_heartbeat(
             other, message["incarnation"], message["leaving"], process.now
         )
+        if message["fenced_up_to"]:
+            process.roster.note_fence(
+                name, message["fenced_up_to"], process.now
+            )
         process.table.accept_handovers(
             other, message["handovers"], process.now
         )
--- a/tests/fuzz/test_shares_machine.py
+++ b/tests/fuzz/test_shares_machine.py
@@ -130,9 +130,13 @@
     @stateful.invariant()
     def hold_parts_within_the_whole(self) -> None:
         now = [self.clock(n) for n in range(HOSTS)]
-        rate = sum(s.measure_rate(t) for s, t in zip(self.shares, now, strict=True))
+        rate = sum(
+            s.measure_rate(t) for s, t in zip(self.shares, now, strict=True)
+        )
         assert rate <= RATE + SLACK
-        tokens = sum(s.measure_tokens(t) for s, t in zip(self.shares, now, strict=True))
+        tokens = sum(
+            s.measure_tokens(t) for s, t in zip(self.shares, now, strict=True)
+        )
         assert tokens <= self.oracle.tokens + SLACK
 
 
