Hold slots for a margin beyond the longest deadline

Cause: an example of the homes machine met a request that ended in the very instant at which its slot was taken over. Backend servers notice the end of a deadline a little late, so the hold gets 0.25 s; the machine's longest request stays the service's longest deadline.

--- a/src/cowslipshift/serving/dispatcher.py
+++ b/src/cowslipshift/serving/dispatcher.py
@@ -36,6 +36,7 @@
 
 EAGER_BODY_BYTES = 65_536
 SHED_PAUSE_S = 0.1
+HOLD_MARGIN_S = 0.25
 RETRIED_STATUSES = frozenset({500, 502, 503, 504})
 
 DRAIN_HEADER = "X-Backend-Draining"
@@ -713,7 +714,8 @@
 ) -> dict[str, float]:
     """Return the slot resources of a data centre with their hold times.
 
-    The hold is the longest time that a request may run.
+    The hold is the longest time that a request may run, and a margin in
+    which a backend server notices the end of the deadline.
     """
     centre = atlas.fleet.data_centres.get(data_centre)
     if centre is None:
