Loans that are asked back, shrunk and returned with their tokens

Change: a borrower shrinks loans that demand no longer needs and returns their tokens; a holder that cannot serve a borrower asks back from those that have more than their fair part; a long gap between arrivals counts as falling demand at once.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -13,6 +13,7 @@
 
 from bench import lookups
 from bench import requests
+from bench import skew
 
 if TYPE_CHECKING:
     from collections.abc import Coroutine
@@ -46,6 +47,14 @@
         """
         _report("lookups", lookups.measure(seconds, connections), save)
 
+    def skew(self, save: bool = False) -> None:
+        """Ways to divide an account, under skewed and moving demand.
+
+        Args:
+            save: Keep the result in docs/measurements.
+        """
+        _report("skew", asyncio.to_thread(skew.measure), save)
+
     def requests(self, seconds: float = 6.0, save: bool = False) -> None:
         """Requests through a host against calling the servers directly.
 
--- a/src/cowslipshift/coordination/shares.py
+++ b/src/cowslipshift/coordination/shares.py
@@ -19,8 +19,20 @@
 CLOCK_DRIFT = 0.01
 """Relative difference allowed between two hosts' monotonic clocks."""
 
-DEMAND_HALF_LIFE_S = 1.0
+DEMAND_HALF_LIFE_S = 0.5
+GAP_ARRIVALS = 3.0
+"""Usual gaps between arrivals after which demand counts as falling."""
+
 DEMAND_MARGIN = 1.3
+RENEW_BEFORE_S = TERM_S / 2
+RECALL_INTERVAL_S = 0.05
+RELEASE_PART = 0.7
+"""A loan is shrunk once demand needs less than this part of it."""
+
+OVERASK = 1.5
+IDLE_RATE = 0.05
+LOOK_AHEAD = 4.0
+"""Decisions ahead for which tokens must be at hand."""
 
 RESERVE_S = 1.0
 """Seconds of demand for which tokens are kept or asked."""
@@ -51,6 +63,7 @@
         holds: What it has from this holder, as it understood it.
         rate: The whole rate that it could use from this holder.
         tokens: Tokens that it could use at once.
+        returns: Tokens that it gives back.
     """
 
     account: str
@@ -58,6 +71,7 @@
     holds: Terms
     rate: float
     tokens: float
+    returns: float = 0.0
 
 
 class Grant(msgspec.Struct, frozen=True):
@@ -105,21 +119,30 @@
 class Demand:
     """Arrivals per second, smoothed exponentially."""
 
-    __slots__ = ("_rate", "_seen_s")
+    __slots__ = ("_arrived_s", "_rate", "_seen_s")
 
     def __init__(self, now: float) -> None:
         self._rate = 0.0
         self._seen_s = now
+        self._arrived_s = now
 
     def note_arrival(self, now: float) -> None:
         """Record one arrival."""
         self._decay(now)
         self._rate += math.log(2) / DEMAND_HALF_LIFE_S
+        self._arrived_s = now
 
     def measure(self, now: float) -> float:
-        """Return the smoothed arrivals per second."""
+        """Return the smoothed arrivals per second.
+
+        A gap since the last arrival that is much longer than usual shows
+        that demand has moved away before the smoothed rate does.
+        """
         self._decay(now)
-        return self._rate
+        gap_s = now - self._arrived_s
+        if gap_s <= 0.0:
+            return self._rate
+        return min(self._rate, GAP_ARRIVALS / gap_s)
 
     def _decay(self, now: float) -> None:
         elapsed_s = max(0.0, now - self._seen_s)
@@ -157,6 +180,7 @@
         self._wants: dict[str, tuple[float, float]] = {}
         self._sequence = sequence
         self._asked: dict[str, tuple[int, float]] = {}
+        self._recalled: dict[str, float] = {}
 
     @property
     def is_holder(self) -> bool:
@@ -262,9 +286,7 @@
             now: Monotonic time in seconds.
         """
         self._settle(now)
-        if rate <= 0.0 and holder in self._borrowed:
-            del self._borrowed[holder]
-            self._resize()
+        returns = self._shrink(holder, rate)
         loan = self._borrowed.get(holder)
         self._sequence += 1
         self._asked[holder] = (self._sequence, now)
@@ -274,6 +296,7 @@
             loan.terms if loan is not None else NOTHING,
             rate,
             tokens,
+            returns,
         )
 
     def accept(self, holder: str, grant: Grant, now: float) -> bool:
@@ -319,6 +342,8 @@
         self._wants[who] = (want.rate, now + TERM_S)
         self._lent.pop(who, None)
         self._resize()
+        tokens = self._bucket.tokens + want.returns
+        self._bucket.tokens = min(tokens, self._bucket.burst)
         whole, tokens = self._measure_offer(who, want, now)
         reserved = Terms(
             max(whole.rate, want.holds.rate),
@@ -330,6 +355,57 @@
         self._resize()
         return Grant(self.account, want.sequence, whole, tokens, TERM_S)
 
+    def list_recalls(self, who: str, want: Want, now: float) -> list[str]:
+        """Return the borrowers to ask back from, after `lend` to another.
+
+        Args:
+            who: The host that asked.
+            want: What it asked.
+            now: Monotonic time in seconds.
+        """
+        loan = self._lent.get(who)
+        base = self._base or NOTHING
+        if loan is None or loan.terms.rate >= want.rate:
+            return []
+        own = self.demand.measure(now) * DEMAND_MARGIN
+        total = own + sum(rate for rate, _ in self._wants.values())
+        scale = min(1.0, base.rate / total) if total > 0.0 else 1.0
+        recalls = []
+        for other, lent in self._lent.items():
+            due_s = self._recalled.get(other, float("-inf"))
+            wanted, _ = self._wants.get(other, (0.0, 0.0))
+            fair = wanted * scale * DEMAND_MARGIN
+            if other == who or lent.terms.rate <= fair or now < due_s:
+                continue
+            self._recalled[other] = now + RECALL_INTERVAL_S
+            recalls.append(other)
+        return recalls
+
+    def measure_need(self, holder: str, now: float) -> float:
+        """Return the part of a loan that demand still needs."""
+        self._settle(now)
+        loan = self._borrowed.get(holder)
+        base = self._base.rate if self._base is not None else 0.0
+        total = sum(loan.terms.rate for loan in self._borrowed.values())
+        if loan is None or total <= 0.0:
+            return 0.0
+        needed = self.demand.measure(now) * DEMAND_MARGIN - base
+        return loan.terms.rate * min(1.0, max(0.0, needed / total))
+
+    def _shrink(self, holder: str, rate: float) -> float:
+        """Give up what is borrowed beyond a rate; return its tokens."""
+        loan = self._borrowed.get(holder)
+        if loan is None or rate >= loan.terms.rate:
+            return 0.0
+        before = self._bucket.tokens
+        if rate <= 0.0:
+            del self._borrowed[holder]
+        else:
+            part = rate / loan.terms.rate
+            loan.terms = Terms(rate, loan.terms.burst * part)
+        self._resize()
+        return before - self._bucket.tokens
+
     def _measure_offer(
         self, who: str, want: Want, now: float
     ) -> tuple[Terms, float]:
@@ -387,6 +463,64 @@
                 del self._wants[who]
 
 
+def plan_requests(
+    share: AccountShare,
+    holders: list[str],
+    waiting: int,
+    interval_s: float,
+    now: float,
+) -> list[tuple[str, float, float]]:
+    """Decide what to ask of whom.
+
+    Args:
+        share: The asking host's part.
+        holders: Hosts that hold base parts, without this one.
+        waiting: Requests that wait for a token.
+        interval_s: Time until the next decision.
+        now: Monotonic time in seconds.
+
+    Returns:
+        For each holder to ask: its name, the whole rate and the tokens.
+    """
+    demand = share.demand.measure(now)
+    borrowed = share.list_borrowed(now)
+    if not holders or (demand < IDLE_RATE and not waiting and not borrowed):
+        return []
+    at_hand = share.measure_tokens(now)
+    due = share.find_due(now, RENEW_BEFORE_S)
+    lacks = waiting > 0 or at_hand < demand * interval_s * LOOK_AHEAD
+    if not lacks:
+        return _plan_release(share, borrowed, due, now)
+    rate, tokens = share.measure_shortage(now)
+    tokens = max(tokens, waiting - at_hand + 1.0)
+    plan = []
+    for holder in holders:
+        held = borrowed.get(holder, 0.0)
+        wanted = held + rate * OVERASK / len(holders)
+        each = tokens * OVERASK / len(holders)
+        plan.append((holder, max(wanted, IDLE_RATE), each))
+    return plan
+
+
+def _plan_release(
+    share: AccountShare,
+    borrowed: dict[str, float],
+    due: list[str],
+    now: float,
+) -> list[tuple[str, float, float]]:
+    """Renew the loans that are due, and shrink those not needed."""
+    plan = []
+    for holder, held in borrowed.items():
+        needed = share.measure_need(holder, now)
+        if needed < IDLE_RATE:
+            needed = 0.0
+        if needed < held * RELEASE_PART:
+            plan.append((holder, needed, 0.0))
+        elif holder in due:
+            plan.append((holder, held, 0.0))
+    return plan
+
+
 def _drop_ended(loans: dict[str, _Loan], now: float) -> None:
     for who, loan in list(loans.items()):
         if loan.until_s <= now:
--- a/src/cowslipshift/daemon/host.py
+++ b/src/cowslipshift/daemon/host.py
@@ -277,11 +277,11 @@
         elif isinstance(message, messages.Facts):
             relay.handle_facts(host, message)
         elif isinstance(message, messages.Wants):
-            grants = self.roles.allowance.lend(host, message.wants)
-            if grants:
-                self.network.send(host, messages.Grants(grants))
+            self.roles.allowance.lend(host, message.wants)
         elif isinstance(message, messages.Grants):
             self.roles.allowance.accept(host, message.grants)
+        elif isinstance(message, messages.Recalls):
+            self.roles.allowance.release(host, message.accounts)
 
     def note_refused(self, host: str) -> None:
         """Learn that a host's address refuses connections."""
--- a/src/cowslipshift/peers/messages.capnp
+++ b/src/cowslipshift/peers/messages.capnp
@@ -63,6 +63,11 @@
   holds @2 :Terms;
   rate @3 :Float64;
   tokens @4 :Float64;
+  returns @5 :Float64;
+}
+
+struct Recalls {
+  accounts @0 :List(Text);
 }
 
 struct Wants {
@@ -102,5 +107,6 @@
     wants @4 :Wants;
     grants @5 :Grants;
     evidences @6 :Evidences;
+    recalls @7 :Recalls;
   }
 }
--- a/src/cowslipshift/peers/messages.py
+++ b/src/cowslipshift/peers/messages.py
@@ -99,6 +99,12 @@
     grants: list[shares.Grant]
 
 
+class Recalls(msgspec.Struct, frozen=True):
+    """Asks back what the receiver does not need of these accounts."""
+
+    accounts: list[str]
+
+
 class Evidence(msgspec.Struct, frozen=True):
     """One host's counters of a version move on one route.
 
@@ -128,6 +134,7 @@
     | Wants
     | Grants
     | Evidences
+    | Recalls
 )
 
 _KINDS: dict[str, type[Any]] = {
@@ -138,6 +145,7 @@
     "wants": Wants,
     "grants": Grants,
     "evidences": Evidences,
+    "recalls": Recalls,
 }
 _NAMES = {kind: name for name, kind in _KINDS.items()}
 
--- a/src/cowslipshift/serving/allowance.py
+++ b/src/cowslipshift/serving/allowance.py
@@ -27,9 +27,6 @@
 MIN_WAITING = 8
 TICK_S = 0.05
 ASK_TIMEOUT_S = 0.4
-RENEW_BEFORE_S = shares.TERM_S / 2
-OVERASK = 1.5
-IDLE_RATE = 0.05
 
 
 class Messenger(Protocol):
@@ -158,19 +155,44 @@
             if ready in waiting:
                 waiting.remove(ready)
 
-    def lend(self, who: str, wants: list[shares.Want]) -> list[shares.Grant]:
-        """Answer another host's requests for parts of accounts."""
+    def lend(self, who: str, wants: list[shares.Want]) -> None:
+        """Answer another host's requests for parts of accounts.
+
+        What is lent to others and not needed there is asked back.
+        """
         now = self._clock.now()
         grants = []
+        recalls: dict[str, list[str]] = {}
         for want in wants:
             if self._atlas is None or (
                 want.account not in self._atlas.contracts.accounts
             ):
                 continue
-            grant = self._get_share(want.account).lend(who, want, now)
-            if grant is not None:
-                grants.append(grant)
-        return grants
+            share = self._get_share(want.account)
+            grant = share.lend(who, want, now)
+            if grant is None:
+                continue
+            grants.append(grant)
+            for borrower in share.list_recalls(who, want, now):
+                recalls.setdefault(borrower, []).append(want.account)
+        if grants:
+            self._messenger.send(who, messages.Grants(grants))
+        for borrower, accounts in recalls.items():
+            self._messenger.send(borrower, messages.Recalls(accounts))
+
+    def release(self, holder: str, accounts: list[str]) -> None:
+        """Give back what is not needed of loans that a holder recalls."""
+        now = self._clock.now()
+        wants = []
+        for account in accounts:
+            share = self._shares.get(account)
+            if share is None or holder not in share.list_borrowed(now):
+                continue
+            needed = share.measure_need(holder, now)
+            wants.append(share.ask(holder, needed, 0.0, now))
+            self._asked[account, holder] = now
+        if wants:
+            self._messenger.send(holder, messages.Wants(wants))
 
     def accept(self, holder: str, grants: list[shares.Grant]) -> None:
         """Take the answers of another host."""
@@ -230,7 +252,11 @@
         now = self._clock.now()
         batches: dict[str, list[shares.Want]] = {}
         for account, share in self._shares.items():
-            for holder, rate, tokens in self._plan(account, share, now):
+            waiting = len(self._waiting.get(account, ()))
+            plan = shares.plan_requests(
+                share, self._list_holders(account), waiting, TICK_S, now
+            )
+            for holder, rate, tokens in plan:
                 last_s = self._asked.get((account, holder), float("-inf"))
                 if now - last_s < ASK_TIMEOUT_S:
                     continue
@@ -240,36 +266,6 @@
         for holder, wants in batches.items():
             self._messenger.send(holder, messages.Wants(wants))
 
-    def _plan(
-        self, account: str, share: shares.AccountShare, now: float
-    ) -> list[tuple[str, float, float]]:
-        """Return what to ask of whom: holder, whole rate, tokens."""
-        demand = share.demand.measure(now)
-        borrowed = share.list_borrowed(now)
-        due = share.find_due(now, RENEW_BEFORE_S)
-        waiting = len(self._waiting.get(account, ()))
-        if demand < IDLE_RATE and not waiting:
-            return []
-        rate, tokens = share.measure_shortage(now)
-        lacks = waiting > 0 or share.measure_tokens(now) < demand * TICK_S * 4
-        if not lacks and not due:
-            return []
-        tokens = max(tokens, waiting - share.measure_tokens(now) + 1.0)
-        holders = self._list_holders(account)
-        if not holders:
-            return []
-        each = rate * OVERASK / len(holders)
-        each_tokens = tokens * OVERASK / len(holders)
-        plan = []
-        for holder in holders:
-            held = borrowed.get(holder, 0.0)
-            if lacks:
-                wanted = max(held + each, IDLE_RATE)
-                plan.append((holder, wanted, each_tokens))
-            elif holder in due:
-                plan.append((holder, max(held, IDLE_RATE), 0.0))
-        return plan
-
     def _list_centres(self) -> list[str]:
         if self._atlas is None:
             return []
--- a/tests/fuzz/test_shares_machine.py
+++ b/tests/fuzz/test_shares_machine.py
@@ -101,6 +101,16 @@
         grant = self.shares[holder].lend(str(who), want, self.clock(holder))
         if grant is not None:
             self.grants.append((holder, who, grant))
+        now = self.clock(holder)
+        for other in self.shares[holder].list_recalls(str(who), want, now):
+            self.recall(int(other), holder)
+
+    def recall(self, borrower: int, holder: int) -> None:
+        share, now = self.shares[borrower], self.clock(borrower)
+        need = share.measure_need(str(holder), now)
+        self.wants.append(
+            (borrower, holder, share.ask(str(holder), need, 0.0, now))
+        )
 
     @stateful.rule(data=st.data(), keep=st.booleans())
     def deliver_grant(self, data: st.DataObject, keep: bool) -> None:
