Leave exhausted holders alone

Cause: a host with one account at five times its rate asked all holders every few milliseconds and kept up to a burst of requests waiting that could only time out: 46.8 KB/s of control at that host, and the account got 216 of its 300 requests a second. Change: once all holders have answered and requests still wait, holders are left alone for a second and only a tenth of a second of supply may wait.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -11,6 +11,7 @@
 import fire
 import msgspec
 
+from bench import fairness
 from bench import lookups
 from bench import requests
 from bench import skew
@@ -47,6 +48,15 @@
         """
         _report("lookups", lookups.measure(seconds, connections), save)
 
+    def fairness(self, seconds: float = 8.0, save: bool = False) -> None:
+        """The other accounts' latency while one sends five times its rate.
+
+        Args:
+            seconds: Length of each of the two runs.
+            save: Keep the result in docs/measurements.
+        """
+        _report("fairness", fairness.measure(seconds), save)
+
     def skew(self, save: bool = False) -> None:
         """Ways to divide an account, under skewed and moving demand.
 
--- a/src/cowslipshift/coordination/shares.py
+++ b/src/cowslipshift/coordination/shares.py
@@ -469,6 +469,7 @@
     waiting: int,
     interval_s: float,
     now: float,
+    exhausted: bool = False,
 ) -> list[tuple[str, float, float]]:
     """Decide what to ask of whom.
 
@@ -478,6 +479,8 @@
         waiting: Requests that wait for a token.
         interval_s: Time until the next decision.
         now: Monotonic time in seconds.
+        exhausted: Whether all holders just gave what they could; loans are
+            then only renewed.
 
     Returns:
         For each holder to ask: its name, the whole rate and the tokens.
@@ -489,7 +492,7 @@
     at_hand = share.measure_tokens(now)
     due = share.find_due(now, RENEW_BEFORE_S)
     lacks = waiting > 0 or at_hand < demand * interval_s * LOOK_AHEAD
-    if not lacks:
+    if exhausted or not lacks:
         return _plan_release(share, borrowed, due, now)
     rate, tokens = share.measure_shortage(now)
     tokens = max(tokens, waiting - at_hand + 1.0)
--- a/src/cowslipshift/serving/allowance.py
+++ b/src/cowslipshift/serving/allowance.py
@@ -25,6 +25,12 @@
 
 MAX_WAIT_S = 0.5
 MIN_WAITING = 8
+EXHAUSTED_S = 1.0
+"""How long holders that gave all they could are left alone."""
+
+EXHAUSTED_WAIT_S = 0.1
+"""Seconds of supply that may wait while holders are exhausted."""
+
 TICK_S = 0.05
 ASK_TIMEOUT_S = 0.4
 
@@ -78,6 +84,7 @@
         self._waiting: dict[str, collections.deque[asyncio.Future[None]]] = {}
         self._asked: dict[tuple[str, str], float] = {}
         self._skipped: dict[tuple[str, str], int] = {}
+        self._exhausted: dict[str, float] = {}
         self._wake = asyncio.Event()
 
     def apply(self, atlas: atlases.Atlas) -> None:
@@ -138,7 +145,7 @@
         waiting = self._waiting.setdefault(account, collections.deque())
         if not waiting and share.try_take(now):
             return
-        limit = self._limit_waiting(account)
+        limit = self._limit_waiting(account, share, now)
         if len(waiting) >= limit or now >= deadline_s:
             raise self._refuse(account, share)
         ready: asyncio.Future[None] = (
@@ -152,8 +159,8 @@
         except TimeoutError as error:
             raise self._refuse(account, share) from error
         finally:
-            if ready in waiting:
-                waiting.remove(ready)
+            if not ready.done():
+                ready.cancel()
 
     def lend(self, who: str, wants: list[shares.Want]) -> None:
         """Answer another host's requests for parts of accounts.
@@ -206,6 +213,7 @@
                 self._skip_holder(grant.account, holder)
             share.accept(holder, grant, now)
             self._serve(grant.account)
+            self._note_answer(grant.account, now)
 
     async def run(self) -> None:
         """Keep asking for what demand lacks, until cancelled."""
@@ -236,6 +244,15 @@
             for name, share in sorted(self._shares.items())
         ]
 
+    def _note_answer(self, account: str, now: float) -> None:
+        """Leave holders alone once all have answered and some still wait."""
+        asked = any(name == account for name, _ in self._asked)
+        if not asked and self._waiting.get(account):
+            self._exhausted[account] = now + EXHAUSTED_S
+
+    def _is_exhausted(self, account: str, now: float) -> bool:
+        return now < self._exhausted.get(account, 0.0)
+
     def _serve(self, account: str) -> None:
         waiting = self._waiting.get(account)
         share = self._get_share(account)
@@ -252,9 +269,13 @@
         now = self._clock.now()
         batches: dict[str, list[shares.Want]] = {}
         for account, share in self._shares.items():
-            waiting = len(self._waiting.get(account, ()))
             plan = shares.plan_requests(
-                share, self._list_holders(account), waiting, TICK_S, now
+                share,
+                self._list_holders(account),
+                len(self._waiting.get(account, ())),
+                TICK_S,
+                now,
+                self._is_exhausted(account, now),
             )
             for holder, rate, tokens in plan:
                 last_s = self._asked.get((account, holder), float("-inf"))
@@ -305,8 +326,13 @@
             key = (account, entry.data_centre)
             self._skipped[key] = self._skipped.get(key, 0) + 1
 
-    def _limit_waiting(self, account: str) -> int:
+    def _limit_waiting(
+        self, account: str, share: shares.AccountShare, now: float
+    ) -> int:
         assert self._atlas is not None
+        if self._is_exhausted(account, now):
+            supply = share.measure_rate(now) * EXHAUSTED_WAIT_S
+            return int(MIN_WAITING + supply)
         entry = self._atlas.contracts.accounts[account]
         return int(MIN_WAITING + entry.burst + entry.rate * MAX_WAIT_S)
 
