Homes: words go to all members, time alone counts after a death

Cause: 8,000 examples of the homes machine found a host that had waited its hold while it was not yet counted, and then acted although the word on that server had gone to another host. Change: what a host used until lately is told to all members; after a death nothing but the hold time counts; a word only replaces the hold where no member died since.

--- a/src/cowslipshift/coordination/homes.py
+++ b/src/cowslipshift/coordination/homes.py
@@ -3,7 +3,8 @@
 Ownership follows the roster by rendezvous hashing. A host that gains a
 resource may not use it before the former owner has stopped: either the
 former owner hands it over and says how much is still in use, or the hold
-time passes, after which nothing of the former owner can be running.
+time passes, after which nothing of the former owner can be running. After
+a death only time counts, since the dead say nothing.
 """
 
 from __future__ import annotations
@@ -36,17 +37,28 @@
 
 
 class _Home:
-    __slots__ = ("default_ready_s", "lingering", "ready")
+    """A resource that this host owns.
 
-    def __init__(self, default_ready_s: float) -> None:
-        self.default_ready_s = default_ready_s
+    Attributes:
+        default_s: When it may be used if no former owner says anything.
+        floor_s: When it may be used at the earliest, whoever says what.
+        ready: What former owners said, by host.
+        lingering: What former owners may still use, and until when.
+    """
+
+    __slots__ = ("default_s", "floor_s", "lingering", "ready")
+
+    def __init__(self, default_s: float, floor_s: float) -> None:
+        self.default_s = default_s
+        self.floor_s = floor_s
         self.ready: dict[str, float] = {}
         self.lingering: dict[str, tuple[int, float]] = {}
 
     @property
     def ready_s(self) -> float:
-        """When the resource may be used, by the givers' word if any."""
-        return max(self.ready.values(), default=self.default_ready_s)
+        """When the resource may be used."""
+        said_s = max(self.ready.values(), default=self.default_s)
+        return max(said_s, self.floor_s)
 
     def count_lingering(self, now: float) -> int:
         """Return what former owners may still use."""
@@ -57,10 +69,17 @@
 
 
 class _Gift:
-    __slots__ = ("given_s", "home")
+    """A resource that this host owned until a moment.
+
+    Attributes:
+        taker: Who owned it next, in this host's view.
+    """
 
-    def __init__(self, home: _Home, given_s: float) -> None:
+    __slots__ = ("given_s", "home", "taker")
+
+    def __init__(self, home: _Home, taker: str, given_s: float) -> None:
         self.home = home
+        self.taker = taker
         self.given_s = given_s
 
 
@@ -80,8 +99,9 @@
         self._holds: dict[str, float] = {}
         self._homes: dict[str, _Home] = {}
         self._owners: dict[str, str] = {}
-        self._gifts: dict[str, dict[str, _Gift]] = {}
+        self._gifts: dict[str, _Gift] = {}
         self._epoch = -1
+        self._deaths = 0
 
     def set_resources(self, holds: dict[str, float], now: float) -> None:
         """Declare the resources.
@@ -115,11 +135,16 @@
             for resource, owner in self._owners.items()
             if owner == self._view.me
         }
-        self._move_gifts(members)
+        saw_death = self._deaths != self._view.deaths
+        self._deaths = self._view.deaths
+        self._drop_gifts(members)
+        if saw_death and not self._view.has_settled:
+            for resource, home in self._homes.items():
+                home.floor_s = now + self._holds.get(resource, 0.0)
         for resource in self._homes.keys() - mine:
             self._lose(resource, now)
         for resource in mine - self._homes.keys():
-            self._gain(resource, now)
+            self._gain(resource, saw_death, now)
         self._starts_clean = False
 
     def find_owner(self, resource: str, now: float) -> str | None:
@@ -187,29 +212,25 @@
                 home.lingering[giver] = (handover.in_use, now + hold_s)
 
     def list_handovers(
-        self,
-        taker: str,
-        describe_use: Callable[[str], tuple[int, float]],
-        now: float,
+        self, describe_use: Callable[[str], tuple[int, float]], now: float
     ) -> list[Handover]:
-        """Describe what this host gave to another one.
+        """Describe what this host owned until lately.
 
-        A resource is listed until nothing that this host started on it can
-        still be running.
+        All members are told, since another one may own a resource in
+        their view; each takes only the word on what it owns. A resource is
+        listed until nothing that this host started on it can be running.
 
         Args:
-            taker: The host that owns the resources now.
             describe_use: Tells how much of a resource is still in use and
-                for how many seconds the taker has to wait.
+                for how many seconds its new owner has to wait.
             now: Monotonic time in seconds.
         """
         self.refresh(now)
-        gifts = self._gifts.get(taker, {})
-        for resource, gift in list(gifts.items()):
-            if now - gift.given_s > self._holds.get(resource, 0.0):
-                del gifts[resource]
         handovers = []
-        for resource, gift in gifts.items():
+        for resource, gift in list(self._gifts.items()):
+            if now - gift.given_s > self._holds.get(resource, 0.0):
+                del self._gifts[resource]
+                continue
             in_use, wait_s = describe_use(resource)
             handovers.append(
                 Handover(
@@ -224,27 +245,21 @@
         home = self._homes.pop(resource)
         owner = self._owners.get(resource)
         if owner is not None and resource in self._holds:
-            gifts = self._gifts.setdefault(owner, {})
-            gifts[resource] = _Gift(home, now)
-
-    def _gain(self, resource: str, now: float) -> None:
-        for gifts in self._gifts.values():
-            gifts.pop(resource, None)
-        hold_s = 0.0 if self._starts_clean else self._holds[resource]
-        self._homes[resource] = _Home(now + hold_s)
+            self._gifts[resource] = _Gift(home, owner, now)
+
+    def _gain(self, resource: str, saw_death: bool, now: float) -> None:
+        self._gifts.pop(resource, None)
+        hold_s = self._holds[resource]
+        self._homes[resource] = _Home(
+            default_s=now if self._starts_clean else now + hold_s,
+            floor_s=now + hold_s if saw_death else now,
+        )
 
-    def _move_gifts(self, members: list[str]) -> None:
-        """Address gifts to hosts that joined since they were made.
+    def _drop_gifts(self, members: list[str]) -> None:
+        """Say nothing of what a host used that is gone.
 
-        Gifts to hosts that went are dropped: what those hosts started is
-        unknown here.
+        What it started is unknown here, and the next owner has to wait.
         """
-        for taker, gifts in list(self._gifts.items()):
-            if taker not in members:
-                del self._gifts[taker]
-                continue
-            for resource in list(gifts):
-                owner = self._owners.get(resource)
-                if owner is not None and owner != taker:
-                    moved = self._gifts.setdefault(owner, {})
-                    moved[resource] = gifts.pop(resource)
+        for resource, gift in list(self._gifts.items()):
+            if gift.taker not in members:
+                del self._gifts[resource]
--- a/src/cowslipshift/coordination/roster.py
+++ b/src/cowslipshift/coordination/roster.py
@@ -104,6 +104,11 @@
         me: Name of this host.
         incarnation: Number of this process, larger than those before it.
         now: Monotonic time in seconds.
+
+    Attributes:
+        epoch: Grows with each change of the members.
+        deaths: Grows with each member that is gone or fenced.
+        has_settled: Whether all members have counted this incarnation.
     """
 
     def __init__(self, me: str, incarnation: int, now: float) -> None:
@@ -111,6 +116,8 @@
         self.incarnation = incarnation
         self.peers: dict[str, Peer] = {}
         self.epoch = 0
+        self.deaths = 0
+        self.has_settled = False
         self._leaving = False
         self._began_s = now
         self._ticked_s = now
@@ -351,11 +358,12 @@
         paused stops before its first decision.
         """
         self._note_pause(now)
-        return (
-            self._suspended_s is None
-            and not self._leaving
-            and self.is_settled()
-        )
+        if self._suspended_s is not None or self._leaving:
+            return False
+        if not self.is_settled():
+            return False
+        self.has_settled = True
+        return True
 
     def is_settled(self) -> bool:
         """Tell whether every member counts this incarnation."""
@@ -402,6 +410,7 @@
         self._suspended_s = None
         self._paused_for_s = 0.0
         self._may_fence_s = now + REFENCE_AFTER_S
+        self.has_settled = False
         for peer in self.peers.values():
             peer.counts_me = 0
             peer.acknowledged_s = None
@@ -428,3 +437,4 @@
         peer.standing = standing
         if (standing in _REMOVED) != was_removed:
             self.epoch += 1
+            self.deaths += standing in (Standing.GONE, Standing.FENCED)
--- a/src/cowslipshift/daemon/host.py
+++ b/src/cowslipshift/daemon/host.py
@@ -245,9 +245,9 @@
         handovers: list[homes.Handover] = []
         if host in self.roster.peers:
             handovers = self._slots.list_handovers(
-                host, self._describe_slot, now
+                self._describe_slot, now
             ) + self._accounts.list_handovers(
-                host, self.roles.allowance.describe, now
+                self.roles.allowance.describe, now
             )
         return messages.Heartbeat(
             host=self.settings.name,
--- a/src/cowslipshift/serving/bulkhead.py
+++ b/src/cowslipshift/serving/bulkhead.py
@@ -28,9 +28,7 @@
     def __init__(self, limit: int = MAX_IN_FLIGHT) -> None:
         self._limit = limit
         self._in_flight: collections.Counter[str] = collections.Counter()
-        self._waiting: dict[
-            str, collections.deque[asyncio.Future[None]]
-        ] = {}
+        self._waiting: dict[str, collections.deque[asyncio.Future[None]]] = {}
 
     @contextlib.asynccontextmanager
     async def enter(
@@ -55,9 +53,7 @@
             self._leave(account)
 
     async def _wait(self, account: str, remaining_s: float) -> None:
-        turn: asyncio.Future[None] = (
-            asyncio.get_running_loop().create_future()
-        )
+        turn: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         self._waiting.setdefault(account, collections.deque()).append(turn)
         try:
             async with asyncio.timeout(remaining_s):
--- a/tests/fuzz/centre.py
+++ b/tests/fuzz/centre.py
@@ -208,7 +208,7 @@
             "counts_you": process.roster.counts(other),
             "leaving": process.roster.is_leaving,
             "handovers": process.table.list_handovers(
-                other, process.count_running, process.now
+                process.count_running, process.now
             ),
         }
         if self.is_open(name, other):
