--- a/src/cowslipshift/config/editor.py
+++ b/src/cowslipshift/config/editor.py
@@ -11,6 +11,7 @@
 from cowslipshift.config import document
 from cowslipshift.config import exceptions
 from cowslipshift.config import model
+from cowslipshift.config import weights
 from cowslipshift.store import exceptions as store_exceptions
 from cowslipshift.store import keys
 
@@ -133,6 +134,7 @@
         )
         raw = document.encode_document(new)
         document.decode_document(raw)
+        weights.check_transition(known, new, wall_s)
         lease = await self._store.grant_lease(keys.CHANGE_RECORD_TTL_S)
         record = msgspec.json.encode(ChangeRecord(change, new.revision))
         also = {keys.CHANGES + change.id: record}
--- a/src/cowslipshift/config/model.py
+++ b/src/cowslipshift/config/model.py
@@ -184,14 +184,15 @@
         queue_per_slot: Waiting requests allowed for each slot.
         retry_ratio: Retries as a fraction of first attempts.
         cold_ramp_s: Time in which a new server reaches its full share.
-        weight: Relative weight of a region in its service's traffic.
+        shift_cap_per_s: Largest part of a service's traffic that shifts
+            move in one second.
     """
 
     lookup_lifetime_s: float = 30.0
     queue_per_slot: int = 16
     retry_ratio: float = 0.1
     cold_ramp_s: float = 10.0
-    weight: float = 1.0
+    shift_cap_per_s: float = 0.05
 
 
 class Scope(Entry, frozen=True):
@@ -225,6 +226,52 @@
     until_ms: int | None = None
 
 
+class Move(Entry, frozen=True):
+    """A move of a service from one version to the next.
+
+    Attributes:
+        start_ms: When it begins, in Unix milliseconds.
+        end_ms: When it must be done or is taken back.
+        bake_s: How long the new version must have all traffic first.
+        early_share: Its share of the traffic until it has earned more.
+        routes: The routes that move; empty for all.
+    """
+
+    id: str
+    service: str
+    from_version: str
+    to_version: str
+    start_ms: int
+    end_ms: int
+    bake_s: float = 30.0
+    early_share: float = 0.05
+    routes: tuple[str, ...] = ()
+    reason: str = ""
+    author: str = ""
+
+
+class Shift(Entry, frozen=True):
+    """A change of the part of a place's traffic that stays there.
+
+    Attributes:
+        place: A region or a data centre.
+        from_weight: The part that stayed before, from 0 to 1.
+        to_weight: The part that stays afterwards.
+        start_ms: When it begins, in Unix milliseconds.
+        cap_per_s: Largest change of the part in one second.
+    """
+
+    id: str
+    service: str
+    place: str
+    from_weight: float
+    to_weight: float
+    start_ms: int
+    cap_per_s: float
+    reason: str
+    author: str
+
+
 class Configuration(Entry, frozen=True):
     """The whole document at one revision.
 
@@ -246,6 +293,8 @@
     servers: tuple[Server, ...] = ()
     accounts: tuple[Account, ...] = ()
     keys: tuple[Key, ...] = ()
+    moves: tuple[Move, ...] = ()
+    shifts: tuple[Shift, ...] = ()
 
 
 SECTIONS: dict[str, str] = {
@@ -259,5 +308,7 @@
     "servers": "name",
     "accounts": "name",
     "keys": "id",
+    "moves": "id",
+    "shifts": "id",
 }
 """Sections that hold lists of entries, with the field that identifies."""
--- a/src/cowslipshift/config/validation.py
+++ b/src/cowslipshift/config/validation.py
@@ -24,8 +24,13 @@
 MAX_RATE = 10_000_000.0
 MAX_DEADLINE_MS = 3_600_000
 MAX_REASON_CHARS = 1_000
+MIN_CAP_PER_S = 1e-5
+MS_PER_S = 1000
 
-_POSITIVE_SETTINGS = frozenset({"lookup_lifetime_s", "queue_per_slot"})
+_POSITIVE_SETTINGS = frozenset(
+    {"lookup_lifetime_s", "queue_per_slot", "shift_cap_per_s"}
+)
+_RATIOS = frozenset({"retry_ratio", "shift_cap_per_s"})
 
 
 def check_configuration(configuration: model.Configuration) -> None:
@@ -54,6 +59,8 @@
     yield from _check_services(configuration)
     yield from _check_accounts(configuration)
     yield from _check_defaults(configuration)
+    yield from _check_moves(configuration)
+    yield from _check_shifts(configuration)
 
 
 def _check_names(
@@ -277,5 +284,70 @@
     path: str, setting: str, value: float
 ) -> Iterator[exceptions.Fault]:
     low = 0.001 if setting in _POSITIVE_SETTINGS else 0.0
-    high = 1.0 if setting == "retry_ratio" else 86_400.0
+    high = 1.0 if setting in _RATIOS else 86_400.0
     yield from _check_range(path, value, low, high)
+
+
+def _check_moves(
+    configuration: model.Configuration,
+) -> Iterator[exceptions.Fault]:
+    services = {service.name: service for service in configuration.services}
+    moving: set[str] = set()
+    for move in configuration.moves:
+        path = f"moves[{move.id}]"
+        yield from _check_reference(
+            f"{path}.service", move.service, services, "service"
+        )
+        if move.service in moving:
+            yield exceptions.Fault(
+                f"{path}.service", "has another move already"
+            )
+        moving.add(move.service)
+        if move.from_version == move.to_version:
+            yield exceptions.Fault(f"{path}.to_version", "is the old version")
+        yield from _check_range(
+            f"{path}.early_share", move.early_share, 0.0, 0.5
+        )
+        longest_s = max(0.0, (move.end_ms - move.start_ms) / MS_PER_S)
+        yield from _check_range(f"{path}.bake_s", move.bake_s, 0.0, longest_s)
+        if move.end_ms <= move.start_ms:
+            yield exceptions.Fault(f"{path}.end_ms", "must be after the start")
+        known = services.get(move.service)
+        routes = {route.name for route in known.routes} if known else set()
+        for name in move.routes:
+            yield from _check_reference(
+                f"{path}.routes", name, routes, "route"
+            )
+        versions = {
+            server.version
+            for server in configuration.servers
+            if server.service == move.service
+        }
+        for version in (move.from_version, move.to_version):
+            yield from _check_reference(path, version, versions, "version")
+
+
+def _check_shifts(
+    configuration: model.Configuration,
+) -> Iterator[exceptions.Fault]:
+    services = {service.name for service in configuration.services}
+    places = {region.name for region in configuration.regions}
+    places |= {centre.name for centre in configuration.data_centres}
+    cap = configuration.defaults.shift_cap_per_s
+    for shift in configuration.shifts:
+        path = f"shifts[{shift.id}]"
+        yield from _check_reference(
+            f"{path}.service", shift.service, services, "service"
+        )
+        yield from _check_reference(
+            f"{path}.place", shift.place, places, "region or data centre"
+        )
+        for field in ("from_weight", "to_weight"):
+            yield from _check_range(
+                f"{path}.{field}", getattr(shift, field), 0.0, 1.0
+            )
+        yield from _check_range(
+            f"{path}.cap_per_s", shift.cap_per_s, MIN_CAP_PER_S, cap
+        )
+        if not shift.reason.strip():
+            yield exceptions.Fault(f"{path}.reason", "a reason is needed")
--- a/src/cowslipshift/daemon/factory.py
+++ b/src/cowslipshift/daemon/factory.py
@@ -17,18 +17,22 @@
 from cowslipshift.daemon import operations
 from cowslipshift.daemon import relay as relays
 from cowslipshift.daemon import storewatcher
+from cowslipshift.moves import desk as move_desks
+from cowslipshift.moves import recorder as recorders
 from cowslipshift.peers import network as networks
 from cowslipshift.routing import directory as directories
 from cowslipshift.routing import loads
 from cowslipshift.routing import preference
 from cowslipshift.routing import selection
 from cowslipshift.serving import allowance
+from cowslipshift.serving import attempt
 from cowslipshift.serving import dispatcher
 from cowslipshift.serving import forwarding
 from cowslipshift.serving import gateway
 from cowslipshift.serving import keyed
 from cowslipshift.serving import peerapi
 from cowslipshift.serving import router
+from cowslipshift.serving import slots
 from cowslipshift.serving import transport
 from cowslipshift.store import client as store_clients
 from cowslipshift.telemetry import metrics as metric
@@ -51,6 +55,7 @@
         host: hosts.Host,
         membership: memberships.Membership,
         watcher: storewatcher.StoreWatcher,
+        recorder: recorders.Recorder,
         sessions: transport.Sessions,
         store: store_clients.StoreClient,
         callers: web.Application,
@@ -60,6 +65,7 @@
         self.host = host
         self.membership = membership
         self.watcher = watcher
+        self.recorder = recorder
         self.sessions = sessions
         self.store = store
         self.callers = callers
@@ -92,7 +98,7 @@
     )
     now = clock.now()
     roster = rosters.Roster(settings.name, origin.incarnation, now)
-    slots = homes.HomeTable(roster, origin.is_clean)
+    table = homes.HomeTable(roster, origin.is_clean)
     accounts = homes.HomeTable(roster, origin.is_first)
     board = facts.FactBoard(lambda fact: host.note_fact(fact))
     load_board = loads.LoadBoard()
@@ -100,7 +106,7 @@
         settings,
         clock,
         roster,
-        slots,
+        table,
         accounts,
         keepers.Keeper(),
         board,
@@ -117,7 +123,7 @@
             metrics.peer_bytes, size, direction=way
         ),
     )
-    roles = _build_roles(host, network, sessions, slots, accounts, origin)
+    roles = _build_roles(host, network, sessions, table, accounts, origin)
     host.assemble(roles, network)
     watcher = storewatcher.StoreWatcher(
         settings.name, store, host.keeper, roles.relay, roster.list_live
@@ -134,10 +140,14 @@
         network,
         roles.router,
         roles.dispatcher,
+        roles.slots,
         roles.keyed,
         book,
         lambda: roster.incarnation,
     )
+    recorder = recorders.Recorder(
+        settings.name, clock, store, roles.moves, host.send_evidence
+    )
     callers = web.Application()
     roles.gateway.add_routes(callers.router)
     operations.Operations(host, watcher, metrics).add_routes(callers.router)
@@ -145,6 +155,7 @@
         host=host,
         membership=membership,
         watcher=watcher,
+        recorder=recorder,
         sessions=sessions,
         store=store,
         callers=callers,
@@ -157,13 +168,20 @@
     host: hosts.Host,
     network: networks.Network,
     sessions: transport.Sessions,
-    slots: homes.HomeTable,
+    table: homes.HomeTable,
     accounts: homes.HomeTable,
     origin: memberships.Origin,
 ) -> hosts.Roles:
     settings, clock = host.settings, host.clock
     name, centre = settings.name, settings.data_centre
-    running = dispatcher.Dispatcher(name, clock, slots, sessions, host.metrics)
+    desk = slots.SlotDesk(name, clock, table)
+    running = dispatcher.Dispatcher(
+        clock, desk, attempt.BackendClient(clock, sessions), host.metrics
+    )
+    relay = relays.Relay(host.keeper, host.board, network)
+    moves = move_desks.MoveDesk(name, origin.incarnation, host.board, relay)
+    desk.set_guard(moves)
+    running.add_listener(moves)
     forwarder = forwarding.Forwarder(
         name,
         settings.secret,
@@ -182,7 +200,7 @@
         name,
         centre,
         host.load_board,
-        running.measure_load,
+        desk.measure_load,
         network.is_linked,
         origin.incarnation,
     )
@@ -194,19 +212,20 @@
         forwarder,
         host.load_board,
         host.metrics,
-        regions.order_for_call,
+        regions,
+        moves,
     )
     keyed_calls = keyed.KeyedCalls(
         name,
         centre,
         clock,
-        slots,
+        table,
         routing.run,
         forwarder,
         host.list_centre_hosts,
         origin.is_first,
     )
-    desk = allowance.AllowanceDesk(
+    allowances = allowance.AllowanceDesk(
         name,
         centre,
         clock,
@@ -219,14 +238,16 @@
         settings.region, host, regions.order_for_lookup
     )
     callers = gateway.Gateway(
-        clock, directory, desk, routing, keyed_calls, host.metrics
+        clock, directory, allowances, routing, keyed_calls, host.metrics
     )
     return hosts.Roles(
         directory=directory,
-        allowance=desk,
+        allowance=allowances,
         dispatcher=running,
+        slots=desk,
+        moves=moves,
         router=routing,
         keyed=keyed_calls,
         gateway=callers,
-        relay=relays.Relay(host.keeper, host.board, network),
+        relay=relay,
     )
--- a/src/cowslipshift/daemon/host.py
+++ b/src/cowslipshift/daemon/host.py
@@ -8,8 +8,8 @@
 from cowslipshift.daemon import relay as relays
 from cowslipshift.daemon import storewatcher
 from cowslipshift.peers import messages
-from cowslipshift.serving import dispatcher as dispatchers
 from cowslipshift.serving import keyed as keyed_calls
+from cowslipshift.serving import slots as slot_desks
 from cowslipshift.telemetry import logs
 from cowslipshift.world import atlas as atlases
 from cowslipshift.world import links
@@ -21,10 +21,12 @@
     from cowslipshift.coordination import homes
     from cowslipshift.coordination import roster as rosters
     from cowslipshift.daemon import settings as daemon_settings
+    from cowslipshift.moves import desk as move_desks
     from cowslipshift.peers import network as networks
     from cowslipshift.routing import directory as directories
     from cowslipshift.routing import loads
     from cowslipshift.serving import allowance as allowances
+    from cowslipshift.serving import dispatcher as dispatchers
     from cowslipshift.serving import gateway as gateways
     from cowslipshift.serving import router as routers
     from cowslipshift.telemetry import metrics as metric
@@ -48,6 +50,8 @@
         directory: directories.Directory,
         allowance: allowances.AllowanceDesk,
         dispatcher: dispatchers.Dispatcher,
+        slots: slot_desks.SlotDesk,
+        moves: move_desks.MoveDesk,
         router: routers.Router,
         keyed: keyed_calls.KeyedCalls,
         gateway: gateways.Gateway,
@@ -56,6 +60,8 @@
         self.directory = directory
         self.allowance = allowance
         self.dispatcher = dispatcher
+        self.slots = slots
+        self.moves = moves
         self.router = router
         self.keyed = keyed
         self.gateway = gateway
@@ -137,14 +143,16 @@
                 region=self.settings.region,
             )
         self.roster.set_configured(centre.hosts if centre else [], now)
-        holds = dispatchers.build_resources(atlas, centre_name)
+        holds = slot_desks.build_resources(atlas, centre_name)
         longest_s = max(holds.values(), default=0.0)
         holds |= keyed_calls.build_resources(centre_name, longest_s)
         self._slots.set_resources(holds, now)
         roles = self.roles
         roles.relay.apply(atlas.fleet)
         roles.allowance.apply(atlas)
-        roles.dispatcher.apply(atlas, centre_name)
+        roles.moves.apply(atlas)
+        roles.slots.apply(atlas, centre_name)
+        roles.dispatcher.apply(atlas)
         if self.settings.region in atlas.fleet.regions:
             table = links.LinkTable(
                 configuration, atlas.fleet, self.settings.region, now
@@ -161,14 +169,14 @@
         self._slots.refresh(now)
         self._accounts.refresh(now)
         self.roles.allowance.refresh()
-        self.roles.dispatcher.serve_queues()
+        self.roles.slots.serve_queues()
         self._report_slots()
 
     def _report_slots(self) -> None:
         """Tell others at once when slots come or go."""
         usable = {
             load.service: load.usable
-            for load in self.roles.dispatcher.measure_loads()
+            for load in self.roles.slots.measure_loads()
         }
         if usable != self._reported:
             self._reported = usable
@@ -225,7 +233,7 @@
             self._roles.directory.forget_answers()
         if fact.kind == storewatcher.LISTED:
             is_leaving = fact.value == IS_LEAVING
-            self._roles.dispatcher.note_listing(fact.subject, is_leaving)
+            self._roles.slots.note_listing(fact.subject, is_leaving)
 
     def announce(self, state: str) -> None:
         """Tell all hosts whether this process leaves.
@@ -260,7 +268,7 @@
             revision=self.keeper.revision,
             fact_digest=self.board.digest,
             handovers=handovers,
-            loads=self.roles.dispatcher.measure_loads(),
+            loads=self.roles.slots.measure_loads(),
         )
 
     def handle_message(
@@ -280,9 +288,17 @@
             self.roles.allowance.lend(host, message.wants)
         elif isinstance(message, messages.Grants):
             self.roles.allowance.accept(host, message.grants)
+        elif isinstance(message, messages.Evidences):
+            self.roles.moves.take_evidences(message.evidences)
         elif isinstance(message, messages.Recalls):
             self.roles.allowance.release(host, message.accounts)
 
+    def send_evidence(self) -> None:
+        """Send this host's counters of version moves to others."""
+        evidences = self.roles.moves.build_evidences(self.clock.wall())
+        if evidences is not None:
+            self.network.broadcast(evidences)
+
     def note_refused(self, host: str) -> None:
         """Learn that a host's address refuses connections."""
         self.roster.note_refused(host, self.clock.now())
@@ -334,7 +350,7 @@
         if resource.startswith("keys:"):
             return self.roles.keyed.describe(resource)
         name = resource.partition(":")[2]
-        return self.roles.dispatcher.count_running(name), 0.0
+        return self.roles.slots.count_running(name), 0.0
 
     def _link_peers(self, atlas: atlases.Atlas) -> None:
         peers = relays.choose_peers(atlas.fleet, self.settings.name)
--- a/src/cowslipshift/daemon/operations.py
+++ b/src/cowslipshift/daemon/operations.py
@@ -7,6 +7,8 @@
 from aiohttp import web
 import msgspec
 
+from cowslipshift.config import weights
+
 if TYPE_CHECKING:
     from cowslipshift.daemon import host as hosts
     from cowslipshift.daemon import storewatcher as watchers
@@ -84,8 +86,10 @@
             },
             "loads": [
                 msgspec.to_builtins(load)
-                for load in roles.dispatcher.measure_loads()
+                for load in roles.slots.measure_loads()
             ],
+            "moves": roles.moves.describe_moves(host.clock.wall()),
+            "shifts": self._describe_shifts(),
             "accounts": roles.allowance.describe_shares(),
             "facts": [
                 msgspec.to_builtins(fact) for fact in host.board.list_facts()
@@ -93,6 +97,23 @@
             "requests_running": roles.gateway.running,
         }
 
+    def _describe_shifts(self) -> list[dict[str, object]]:
+        atlas = self._host.atlas
+        if atlas is None:
+            return []
+        wall_s = self._host.clock.wall()
+        return [
+            {
+                "id": shift.id,
+                "service": shift.service,
+                "place": shift.place,
+                "weight": round(weights.measure_shift(shift, wall_s), 4),
+                "to": shift.to_weight,
+                "left_s": round(weights.measure_left(shift, wall_s), 1),
+            }
+            for shift in atlas.configuration.shifts
+        ]
+
     def _list_addresses(self) -> dict[str, str]:
         atlas = self._host.atlas
         if atlas is None:
@@ -103,7 +124,7 @@
         metrics = self._metrics
         linked = len(self._host.network.list_linked())
         metrics.peers.set({"state": "linked"}, linked)
-        for load in self._host.roles.dispatcher.measure_loads():
+        for load in self._host.roles.slots.measure_loads():
             labels = {"service": load.service}
             metrics.slots.set({**labels, "state": "usable"}, load.usable)
             metrics.slots.set({**labels, "state": "in_use"}, load.in_use)
--- a/src/cowslipshift/daemon/service.py
+++ b/src/cowslipshift/daemon/service.py
@@ -89,7 +89,9 @@
             parts.watcher.run_watch(keys.CONFIGURATION),
             parts.watcher.run_watch(keys.PLATFORM_HOSTS),
             parts.host.roles.allowance.run(),
-            self._run_moves(),
+            parts.recorder.run_judging(),
+            parts.recorder.run_recording(),
+            self._run_table_moves(),
         ]
         for job in jobs:
             task = asyncio.create_task(job)
@@ -103,7 +105,7 @@
         self._log.error("task_failed", reason=repr(task.exception()))
         os._exit(1)
 
-    async def _run_moves(self) -> None:
+    async def _run_table_moves(self) -> None:
         while True:
             await self._assembly.host.roles.keyed.move_tables()
             await asyncio.sleep(POLL_S)
@@ -123,7 +125,7 @@
         can_move = len(self._assembly.host.roster.list_members()) > 0
         return (
             roles.gateway.running
-            + roles.dispatcher.count_all_running()
+            + roles.slots.count_all_running()
             + roles.keyed.count_running()
             + int(can_move and roles.keyed.has_tables_to_move())
         )
--- /dev/null
+++ b/src/cowslipshift/moves/desk.py
@@ -0,0 +1,366 @@
+"""This host's part in version moves."""
+
+from __future__ import annotations
+
+import enum
+from typing import Protocol
+from typing import TYPE_CHECKING
+
+from cowslipshift.coordination import facts
+from cowslipshift.coordination import hashing
+from cowslipshift.moves import evidence
+from cowslipshift.moves import ladder
+from cowslipshift.peers import messages
+from cowslipshift.telemetry import logs
+
+if TYPE_CHECKING:
+    from cowslipshift.config import model
+    from cowslipshift.world import atlas as atlases
+
+STAGE = "move_stage"
+"""Kind of facts that tell the highest stage that a move has reached."""
+
+FAULT = "move_fault"
+"""Kind of facts that tell that a new version is taken back."""
+
+VERDICT = "move_verdict"
+"""Kind of facts that tell what the store has recorded."""
+
+DONE = "done"
+TAKEN_BACK = "taken_back"
+
+KEPT_WINDOWS = 4
+TOTAL_WINDOW = -1
+"""Number that stands for all windows together."""
+
+
+class Phase(enum.Enum):
+    """Where a move stands in this host's view."""
+
+    WAITING = "waiting"
+    RUNNING = "running"
+    BAKING = "baking"
+    DONE = DONE
+    TAKEN_BACK = TAKEN_BACK
+
+
+class Publisher(Protocol):
+    """Spreads facts."""
+
+    def publish(self, fact: facts.Fact) -> None:
+        """Take a fact that was found here and spread it."""
+
+
+class _Book:
+    """The evidence on one move: by route, window and host."""
+
+    __slots__ = ("own", "stage_since", "stage_window", "theirs")
+
+    def __init__(self) -> None:
+        self.own: dict[tuple[str, int], evidence.Pair] = {}
+        self.theirs: dict[tuple[str, int, str], tuple[int, list[int]]] = {}
+        self.stage_since: dict[int, float] = {}
+        self.stage_window: dict[int, int] = {}
+
+
+class MoveDesk:
+    """Assigns requests to versions, gathers evidence and judges it.
+
+    Stages, faults and verdicts are facts that only grow, so that hosts
+    agree however late they hear: a fault outranks every stage.
+
+    Args:
+        host: Name of this host.
+        incarnation: Number of this process.
+        board: The facts.
+        publisher: Spreads facts.
+    """
+
+    def __init__(
+        self,
+        host: str,
+        incarnation: int,
+        board: facts.FactBoard,
+        publisher: Publisher,
+    ) -> None:
+        self._host = host
+        self._incarnation = incarnation
+        self._board = board
+        self._publisher = publisher
+        self._log = logs.EventLog("moves")
+        self._moves: dict[str, model.Move] = {}
+        self._by_service: dict[str, model.Move] = {}
+        self._books: dict[str, _Book] = {}
+
+    def apply(self, atlas: atlases.Atlas) -> None:
+        """Follow a new configuration."""
+        self._moves = {m.id: m for m in atlas.configuration.moves}
+        self._by_service = {m.service: m for m in self._moves.values()}
+        for gone in self._books.keys() - self._moves.keys():
+            del self._books[gone]
+
+    def list_versions(
+        self, service: str, route: str, unit: str, wall_s: float
+    ) -> list[str]:
+        """Return the versions for a request, the one to use first.
+
+        Where no move is under way this is "", for any version.
+
+        Args:
+            service: The service.
+            route: The route.
+            unit: Request id or idempotency key; the same unit gets the
+                same version on all hosts that know the same stage.
+            wall_s: Unix time in seconds.
+        """
+        move = self._by_service.get(service)
+        if move is None:
+            return [""]
+        if move.routes and route not in move.routes:
+            return [move.from_version]
+        share = self.measure_share(move, wall_s)
+        position = hashing.hash_fraction(f"{move.id}|{unit}")
+        if position >= share:
+            return [move.from_version]
+        return [move.to_version, move.from_version]
+
+    def may_run(self, server: model.Server, version: str) -> bool:
+        """Tell whether a server may run a request for a version.
+
+        What the requesting host assumed may be outdated; a version that
+        was taken back gets nothing, whoever asks.
+        """
+        move = self._by_service.get(server.service)
+        if move is None or not version:
+            return True
+        if server.version == move.to_version and self._is_faulty(move):
+            return False
+        if version == move.to_version and self._is_faulty(move):
+            return server.version == move.from_version
+        return server.version == version
+
+    def measure_share(self, move: model.Move, wall_s: float) -> float:
+        """Return the new version's share of the traffic right now."""
+        phase = self.find_phase(move, wall_s)
+        if phase in (Phase.WAITING, Phase.TAKEN_BACK):
+            return 0.0
+        if phase is Phase.DONE:
+            return 1.0
+        return ladder.list_shares(move)[self._find_stage(move)]
+
+    def find_phase(self, move: model.Move, wall_s: float) -> Phase:
+        """Return where a move stands."""
+        verdict = self._board.get_fact(VERDICT, move.id)
+        if verdict is not None:
+            return Phase(verdict.value)
+        if self._is_faulty(move):
+            return Phase.TAKEN_BACK
+        if not ladder.is_started(move, wall_s):
+            return Phase.WAITING
+        if self._find_stage(move) == ladder.find_last_stage(move):
+            return Phase.BAKING
+        return Phase.RUNNING
+
+    def note_outcome(
+        self,
+        server: model.Server,
+        route: str,
+        latency_s: float,
+        failed: bool,
+        wall_s: float,
+    ) -> None:
+        """Count the outcome of one attempt."""
+        move = self._by_service.get(server.service)
+        if move is None or not ladder.is_started(move, wall_s):
+            return
+        if server.version not in (move.from_version, move.to_version):
+            return
+        book = self._books.setdefault(move.id, _Book())
+        window = ladder.find_window(move, wall_s)
+        for number in (window, TOTAL_WINDOW):
+            pair = book.own.setdefault((route, number), evidence.build_pair())
+            is_new = server.version == move.to_version
+            tally = pair.new if is_new else pair.old
+            tally.note(latency_s, failed)
+
+    def build_evidences(self, wall_s: float) -> messages.Evidences | None:
+        """Build the counters that other hosts should know."""
+        rows = []
+        for name, book in self._books.items():
+            current = ladder.find_window(self._moves[name], wall_s)
+            for route, window in list(book.own):
+                if 0 <= window < current - KEPT_WINDOWS:
+                    del book.own[route, window]
+                    continue
+                if window not in (TOTAL_WINDOW, current, current - 1):
+                    continue
+                pair = book.own[route, window]
+                counts = pair.old.list_counts() + pair.new.list_counts()
+                rows.append(
+                    messages.Evidence(
+                        move=name,
+                        host=self._host,
+                        incarnation=self._incarnation,
+                        counts=[window + 1, *counts],
+                        route=route,
+                    )
+                )
+        return messages.Evidences(rows) if rows else None
+
+    def take_evidences(self, rows: list[messages.Evidence]) -> None:
+        """Take other hosts' counters; older ones are ignored."""
+        for row in rows:
+            if row.move not in self._moves or row.host == self._host:
+                continue
+            if len(row.counts) != 1 + 2 * evidence.COUNTS:
+                continue
+            book = self._books.setdefault(row.move, _Book())
+            window, *counts = row.counts
+            key = (row.route, window - 1, f"{row.host}/{row.incarnation}")
+            known = book.theirs.get(key)
+            if known is None or sum(counts) >= known[0]:
+                book.theirs[key] = (sum(counts), counts)
+
+    def judge_moves(self, wall_s: float) -> None:
+        """Judge each move, publish faults and stages that are reached."""
+        for move in self._moves.values():
+            phase = self.find_phase(move, wall_s)
+            if phase in (Phase.RUNNING, Phase.BAKING):
+                self._judge(move, wall_s)
+
+    def list_verdicts(self, wall_s: float) -> list[tuple[str, str]]:
+        """Return the moves whose outcome should be recorded, and it."""
+        due = []
+        for move in self._moves.values():
+            if self._board.get_fact(VERDICT, move.id) is not None:
+                continue
+            if self._is_faulty(move):
+                due.append((move.id, TAKEN_BACK))
+            elif self._has_baked(move, wall_s):
+                due.append((move.id, DONE))
+        return due
+
+    def note_verdict(self, name: str, verdict: str) -> None:
+        """Spread the outcome that the store has recorded."""
+        self._publisher.publish(facts.Fact(VERDICT, name, 1, verdict))
+
+    def describe_moves(self, wall_s: float) -> list[dict[str, object]]:
+        """Describe all moves for the status page."""
+        described: list[dict[str, object]] = []
+        for move in self._moves.values():
+            fault = self._board.get_fact(FAULT, move.id)
+            described.append(
+                {
+                    "id": move.id,
+                    "service": move.service,
+                    "from": move.from_version,
+                    "to": move.to_version,
+                    "phase": self.find_phase(move, wall_s).value,
+                    "share": self.measure_share(move, wall_s),
+                    "reason": fault.value if fault is not None else "",
+                    "recorded": self._board.get_fact(VERDICT, move.id)
+                    is not None,
+                }
+            )
+        return described
+
+    def _judge(self, move: model.Move, wall_s: float) -> None:
+        book = self._books.setdefault(move.id, _Book())
+        stage = self._find_stage(move)
+        window = ladder.find_window(move, wall_s)
+        book.stage_since.setdefault(stage, wall_s)
+        book.stage_window.setdefault(stage, window)
+        judgements = self._compare(move, book, window)
+        for (route, number), judgement in judgements.items():
+            if judgement in (
+                evidence.Judgement.FAILS,
+                evidence.Judgement.SLOW,
+            ):
+                self._take_back(
+                    move, f"{judgement.value} route={route} window={number}"
+                )
+                return
+        if ladder.is_overdue(move, stage, wall_s):
+            self._take_back(move, "overdue")
+            return
+        if stage < ladder.find_last_stage(move) and self._may_climb(
+            move, book, judgements, wall_s
+        ):
+            self._publisher.publish(facts.Fact(STAGE, move.id, stage + 1, ""))
+            self._log.info("move_stage", move=move.id, stage=stage + 1)
+
+    def _compare(
+        self, move: model.Move, book: _Book, window: int
+    ) -> dict[tuple[str, int], evidence.Judgement]:
+        """Compare the versions by route, lately and altogether.
+
+        At full share the old version runs nothing; the new one is then
+        compared with the old one's total.
+        """
+        routes = {route for route, _ in book.own}
+        routes |= {route for route, _, _ in book.theirs}
+        judgements = {}
+        for route in routes:
+            total = self._sum_pairs(book, route, {TOTAL_WINDOW})
+            recent = self._sum_pairs(book, route, {window, window - 1})
+            if recent.old.total < evidence.MIN_SAMPLES:
+                recent = evidence.Pair(total.old, recent.new)
+            judgements[route, TOTAL_WINDOW] = evidence.judge_pair(total)
+            judgements[route, window] = evidence.judge_pair(recent)
+        return judgements
+
+    def _sum_pairs(
+        self, book: _Book, route: str, windows: set[int]
+    ) -> evidence.Pair:
+        summed = evidence.build_pair()
+        for (name, window), pair in book.own.items():
+            if name == route and window in windows:
+                summed.old.add(pair.old.list_counts())
+                summed.new.add(pair.new.list_counts())
+        for (name, window, _), (_, counts) in book.theirs.items():
+            if name == route and window in windows:
+                summed.old.add(counts[: evidence.COUNTS])
+                summed.new.add(counts[evidence.COUNTS :])
+        return summed
+
+    def _may_climb(
+        self,
+        move: model.Move,
+        book: _Book,
+        judgements: dict[tuple[str, int], evidence.Judgement],
+        wall_s: float,
+    ) -> bool:
+        """Tell whether the new version has earned the next stage."""
+        stage = self._find_stage(move)
+        dwell_s = ladder.DWELL_WINDOWS * ladder.measure_window(move)
+        if wall_s - book.stage_since[stage] < dwell_s:
+            return False
+        totals = [
+            judgement
+            for (_, number), judgement in judgements.items()
+            if number == TOTAL_WINDOW
+        ]
+        return evidence.Judgement.GOOD in totals
+
+    def _has_baked(self, move: model.Move, wall_s: float) -> bool:
+        book = self._books.get(move.id)
+        last = ladder.find_last_stage(move)
+        if book is None or self._find_stage(move) < last:
+            return False
+        since_s = book.stage_since.get(last)
+        return since_s is not None and wall_s - since_s >= move.bake_s
+
+    def _take_back(self, move: model.Move, reason: str) -> None:
+        self._publisher.publish(facts.Fact(FAULT, move.id, 1, reason))
+        self._log.warn("move_taken_back", move=move.id, reason=reason)
+
+    def _find_stage(self, move: model.Move) -> int:
+        fact = self._board.get_fact(STAGE, move.id)
+        reached = fact.version if fact is not None else 0
+        return min(reached, ladder.find_last_stage(move))
+
+    def _is_faulty(self, move: model.Move) -> bool:
+        verdict = self._board.get_fact(VERDICT, move.id)
+        if verdict is not None:
+            return verdict.value == TAKEN_BACK
+        return self._board.get_fact(FAULT, move.id) is not None
--- a/src/cowslipshift/routing/preference.py
+++ b/src/cowslipshift/routing/preference.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING
 
+from cowslipshift.coordination import hashing
+
 if TYPE_CHECKING:
     from cowslipshift import clock as clocks
     from cowslipshift.serving import calls
@@ -11,7 +13,12 @@
 
 
 class RegionOrder:
-    """Orders regions by distance, and by weight where weights differ.
+    """Orders regions by distance and by the part of traffic that stays.
+
+    While a shift is under way each request is placed by a hash of its id,
+    so that the part that moves is exact however coarse callers are and
+    whatever look-ups they still hold. Look-ups follow once a region is
+    empty, and come back as soon as anything returns to it.
 
     Args:
         region: Region of this host.
@@ -39,10 +46,49 @@
             origin: Region nearest to the block.
             wall_s: Unix time in seconds.
         """
-        return atlas.fleet.order_regions(origin)
+        regions = atlas.fleet.order_regions(origin)
+        return sorted(
+            regions,
+            key=lambda region: (
+                atlas.weights.measure_weight(service, region, wall_s) <= 0.0
+            ),
+        )
 
     def order_for_call(
         self, atlas: atlases.Atlas, call: calls.Call
     ) -> list[str]:
-        """Return regions for a request, best first."""
-        return atlas.fleet.order_regions(self._region)
+        """Return regions for a request, best first.
+
+        A region that the request does not stay in comes last: it serves
+        only what no other one has room for, unless it is empty.
+        """
+        origin = call.origin or self._region
+        wall_s = self._clock.wall()
+        staying: list[str] = []
+        moving: list[str] = []
+        for region in atlas.fleet.order_regions(origin):
+            weight = atlas.weights.measure_weight(call.service, region, wall_s)
+            if weight >= 1.0 or self.stays(call, region, weight):
+                staying.append(region)
+            elif weight > 0.0:
+                moving.append(region)
+        return staying + moving
+
+    def order_centres(
+        self, atlas: atlases.Atlas, call: calls.Call, region: str
+    ) -> list[str]:
+        """Return the data centres of a region that a request stays in."""
+        wall_s = self._clock.wall()
+        staying = []
+        for centre in atlas.fleet.regions[region].data_centres:
+            weight = atlas.weights.measure_weight(
+                call.service, centre.name, wall_s
+            )
+            if weight >= 1.0 or self.stays(call, centre.name, weight):
+                staying.append(centre.name)
+        return staying
+
+    def stays(self, call: calls.Call, place: str, weight: float) -> bool:
+        """Tell whether a request belongs to the part that stays."""
+        unit = call.key or call.id
+        return hashing.hash_fraction(f"{place}|{unit}") < weight
--- a/src/cowslipshift/routing/selection.py
+++ b/src/cowslipshift/routing/selection.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from cowslipshift.serving import calls
+from cowslipshift.serving import slots
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -46,7 +47,7 @@
         host: Name of this host.
         data_centre: Its data centre.
         board: Loads of other hosts.
-        measure_own: Returns this host's load of a service.
+        measure_own: Returns this host's load of a service and version.
         is_linked: Tells whether a link to a host is open; a linked host that
             has not reported yet is worth trying.
         seed: Seed of the tie-breaking random numbers.
@@ -57,7 +58,7 @@
         host: str,
         data_centre: str,
         board: loads.LoadBoard,
-        measure_own: Callable[[str], messages.ServiceLoad],
+        measure_own: Callable[[str, str], messages.ServiceLoad],
         is_linked: Callable[[str], bool],
         seed: int,
     ) -> None:
@@ -71,28 +72,27 @@
     def list_candidates(
         self,
         atlas: atlases.Atlas,
-        service: str,
-        scope: calls.Scope,
-        regions: list[str],
+        call: calls.Call,
+        places: list[tuple[str, list[str]]],
         now: float,
     ) -> list[Candidate]:
         """Return the hosts to try, best first.
 
         Args:
             atlas: The configuration in force.
-            service: The service.
-            scope: How far the request may still be passed on.
-            regions: Regions in order of preference.
+            call: The request.
+            places: Regions in order of preference, each with the data
+                centres that may take the request.
             now: Monotonic time in seconds.
         """
-        if scope is calls.Scope.HOST:
-            own = self._measure_own(service)
+        if call.scope is calls.Scope.HOST:
+            own = self._measure_own(call.service, call.version)
             free = own.usable > own.in_use + own.queued
             return [self._build(self._host, "", free)]
         with_room: list[Candidate] = []
         without: list[Candidate] = []
-        for region in regions:
-            found = list(self._rank_region(atlas, service, scope, region, now))
+        for region, centres in places:
+            found = list(self._rank_region(atlas, call, region, centres, now))
             with_room.extend(c for c in found if c.has_room)
             without.extend(c for c in found if not c.has_room)
         return with_room + without
@@ -100,18 +100,18 @@
     def _rank_region(
         self,
         atlas: atlases.Atlas,
-        service: str,
-        scope: calls.Scope,
+        call: calls.Call,
         region: str,
+        centres: list[str],
         now: float,
     ) -> Iterator[Candidate]:
         scored = []
-        for centre in atlas.fleet.regions[region].data_centres:
-            near = centre.name == self._data_centre
-            if scope is calls.Scope.CENTRE and not near:
+        for name in centres:
+            near = name == self._data_centre
+            if call.scope is calls.Scope.CENTRE and not near:
                 continue
-            for host in centre.hosts:
-                score = self._score(host, service, near, now)
+            for host in atlas.fleet.data_centres[name].hosts:
+                score = self._score(host, call, near, now)
                 if score is not None:
                     scored.append((score, host))
         scored.sort()
@@ -119,18 +119,19 @@
             yield self._build(host, region, rank < 2)
 
     def _score(
-        self, host: str, service: str, near: bool, now: float
+        self, host: str, call: calls.Call, near: bool, now: float
     ) -> tuple[int, float, float] | None:
         """Return a rank (0 own and free, 1 free, 2 busy) and a tie break."""
         tie = self._random.random()
         if host == self._host:
-            own = self._measure_own(service)
+            own = self._measure_own(call.service, call.version)
             if own.usable == 0:
                 return None
             if own.in_use + own.queued < own.usable:
                 return 0, 0.0, tie
             return 2, (own.in_use + own.queued) / own.usable, tie
-        load = self._board.get_load(host, service, now)
+        name = slots.name_load(call.service, call.version)
+        load = self._board.get_load(host, name, now)
         if load is None:
             is_new = self._is_linked(host) and not self._board.has_report(host)
             return (2, 1.0, tie) if is_new else None
--- a/src/cowslipshift/serving/calls.py
+++ b/src/cowslipshift/serving/calls.py
@@ -100,6 +100,8 @@
         key: Idempotency key; empty for idempotent routes.
         scope: How far it may still be passed on.
         attempt: Id of the attempt that another host sent.
+        origin: Region nearest to the caller.
+        version: Version that is to run it; empty for any.
     """
 
     __slots__ = (
@@ -113,11 +115,12 @@
         "key",
         "key_id",
         "method",
+        "origin",
         "path",
-        "region",
         "route",
         "scope",
         "service",
+        "version",
     )
 
     def __init__(
@@ -137,7 +140,8 @@
         deadline_s: float,
         scope: Scope = Scope.FLEET,
         attempt: str = "",
-        region: str = "",
+        origin: str = "",
+        version: str = "",
     ) -> None:
         self.id = id
         self.service = service
@@ -153,7 +157,8 @@
         self.deadline_s = deadline_s
         self.scope = scope
         self.attempt = attempt
-        self.region = region
+        self.origin = origin
+        self.version = version
 
 
 class Reply:
--- a/src/cowslipshift/serving/gateway.py
+++ b/src/cowslipshift/serving/gateway.py
@@ -278,8 +278,17 @@
             key=key,
             idempotent=route.idempotent,
             deadline_s=deadline_s,
+            origin=self._find_origin(request),
         )
 
+    def _find_origin(self, request: web.Request) -> str:
+        """Return the region nearest to the caller, empty if not listed."""
+        try:
+            blocks = self._require_atlas().blocks
+            return blocks.find_region(request.remote or "") or ""
+        except ValueError:
+            return ""
+
     def _parse_outcome_call(
         self, request: web.Request, request_id: str
     ) -> calls.Call:
--- a/src/cowslipshift/serving/peerapi.py
+++ b/src/cowslipshift/serving/peerapi.py
@@ -24,6 +24,7 @@
     from cowslipshift.serving import dispatcher as dispatchers
     from cowslipshift.serving import keyed as keyed_calls
     from cowslipshift.serving import router as routers
+    from cowslipshift.serving import slots as slot_desks
 
 FORWARD_PREFIX = "/peer/forward/"
 MAX_TRANSFER_BYTES = 64 * 1024 * 1024
@@ -38,6 +39,7 @@
         network: The links, which share the listener.
         router: Runs requests within the data centre.
         dispatcher: Runs requests on this host's slots.
+        slots: The slots themselves.
         keyed: Home of idempotency keys.
         book: Attempts that came and those taken back.
         get_incarnation: Returns the number of this process.
@@ -50,6 +52,7 @@
         network: networks.Network,
         router: routers.Router,
         dispatcher: dispatchers.Dispatcher,
+        slots: slot_desks.SlotDesk,
         keyed: keyed_calls.KeyedCalls,
         book: attempts.AttemptBook,
         get_incarnation: Callable[[], int],
@@ -59,6 +62,7 @@
         self._network = network
         self._router = router
         self._dispatcher = dispatcher
+        self._slots = slots
         self._keyed = keyed
         self._book = book
         self._get_incarnation = get_incarnation
@@ -175,7 +179,7 @@
             raise
 
     def _describe(self, service: str, result: str) -> dict[str, str]:
-        load = self._dispatcher.measure_load(service)
+        load = self._slots.measure_load(service)
         return {wire.RESULT: result, wire.LOAD: wire.format_load(load)}
 
     async def _handle_recall(self, request: web.Request) -> web.Response:
--- a/src/cowslipshift/serving/router.py
+++ b/src/cowslipshift/serving/router.py
@@ -9,13 +9,14 @@
 from cowslipshift.serving import calls
 from cowslipshift.serving import forwarding
 from cowslipshift.serving import refusals
+from cowslipshift.serving import slots
 from cowslipshift.telemetry import logs
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
     from cowslipshift import clock as clocks
+    from cowslipshift.moves import desk as move_desks
     from cowslipshift.routing import loads
+    from cowslipshift.routing import preference
     from cowslipshift.routing import selection
     from cowslipshift.serving import dispatcher as dispatchers
     from cowslipshift.telemetry import metrics as metric
@@ -43,7 +44,8 @@
         forwarder: Passes requests to other hosts.
         board: Loads of other hosts.
         metrics: Metrics of the host.
-        order_regions: Returns regions in order of preference for a call.
+        regions: Orders regions and data centres.
+        moves: Assigns requests to versions.
     """
 
     def __init__(
@@ -55,7 +57,8 @@
         forwarder: forwarding.Forwarder,
         board: loads.LoadBoard,
         metrics: metric.Metrics,
-        order_regions: Callable[[atlases.Atlas, calls.Call], list[str]],
+        regions: preference.RegionOrder,
+        moves: move_desks.MoveDesk,
     ) -> None:
         self._host = host
         self._clock = clock
@@ -64,7 +67,8 @@
         self._forwarder = forwarder
         self._board = board
         self._metrics = metrics
-        self._order_regions = order_regions
+        self._regions = regions
+        self._moves = moves
         self._log = logs.EventLog("router")
         self._atlas: atlases.Atlas | None = None
         self._links: links.LinkTable | None = None
@@ -93,13 +97,7 @@
                 "retry_ratio", self._clock.wall(), service=call.service
             )
         )
-        candidates = self._selector.list_candidates(
-            self._atlas,
-            call.service,
-            call.scope,
-            self._order_regions(self._atlas, call),
-            self._clock.now(),
-        )
+        candidates = self._list_candidates(self._atlas, call)
         refusal: refusals.Refusal | None = None
         for candidate in candidates[:MAX_CANDIDATES]:
             if not self._fits_link(call, candidate):
@@ -118,6 +116,35 @@
             f"no region has room for service {call.service}"
         )
 
+    def _list_candidates(
+        self, atlas: atlases.Atlas, call: calls.Call
+    ) -> list[selection.Candidate]:
+        """Assign a version and order the hosts that may run it.
+
+        A request whose version has no slots anywhere near goes to the
+        other one; the new version then gets less than its share.
+        """
+        places = [
+            (region, self._regions.order_centres(atlas, call, region))
+            for region in self._regions.order_for_call(atlas, call)
+        ]
+        versions = [call.version]
+        if call.scope is calls.Scope.FLEET:
+            versions = self._moves.list_versions(
+                call.service,
+                call.route,
+                call.key or call.id,
+                self._clock.wall(),
+            )
+        now = self._clock.now()
+        for call.version in versions:
+            candidates = self._selector.list_candidates(
+                atlas, call, places, now
+            )
+            if candidates:
+                return candidates
+        return []
+
     def _fits_link(
         self, call: calls.Call, candidate: selection.Candidate
     ) -> bool:
@@ -136,14 +163,16 @@
             account=call.account,
             target=candidate.host,
             region=candidate.region,
+            version=call.version,
             room=candidate.has_room,
         )
         if candidate.host == self._host:
             return await self._dispatcher.run(call)
         self._metrics.count(self._metrics.forwards, target=candidate.host)
-        self._board.note_sent(candidate.host, call.service, 1)
+        name = slots.name_load(call.service, call.version)
+        self._board.note_sent(candidate.host, name, 1)
         stack = contextlib.ExitStack()
-        stack.callback(self._board.note_sent, candidate.host, call.service, -1)
+        stack.callback(self._board.note_sent, candidate.host, name, -1)
         with stack:
             reply = await self._forwarder.forward(
                 call, candidate.host, candidate.scope
--- /dev/null
+++ b/src/cowslipshift/serving/slots.py
@@ -0,0 +1,348 @@
+"""The slots that this host owns: who waits for them and who gets them."""
+
+from __future__ import annotations
+
+import asyncio
+import math
+from typing import Protocol
+from typing import TYPE_CHECKING
+
+from cowslipshift.peers import messages
+from cowslipshift.serving import backends
+from cowslipshift.serving import fairqueue
+from cowslipshift.serving import refusals
+
+if TYPE_CHECKING:
+    from cowslipshift import clock as clocks
+    from cowslipshift.config import model
+    from cowslipshift.coordination import homes
+    from cowslipshift.serving import calls
+    from cowslipshift.world import atlas as atlases
+
+HOLD_MARGIN_S = 0.25
+"""Time in which a backend server notices the end of a deadline."""
+
+Wanted = tuple[str, str]
+"""A service and a version, "" for any version."""
+
+
+class VersionGuard(Protocol):
+    """Decides which servers may run a request for a version."""
+
+    def may_run(self, server: model.Server, version: str) -> bool:
+        """Tell whether a server may run it right now."""
+
+
+class SlotDesk:
+    """Gives slots to requests, fairly by account.
+
+    Args:
+        host: Name of this host.
+        clock: Source of the present time.
+        table: Tells which slots this host owns.
+    """
+
+    def __init__(
+        self, host: str, clock: clocks.Clock, table: homes.HomeTable
+    ) -> None:
+        self._host = host
+        self._clock = clock
+        self._table = table
+        self._atlas: atlases.Atlas | None = None
+        self._region = ""
+        self._guard: VersionGuard | None = None
+        self._listed: set[str] = set()
+        self._backends: dict[str, backends.Backend] = {}
+        self._services: dict[str, list[backends.Backend]] = {}
+        self._queues: dict[Wanted, fairqueue.FairQueue] = {}
+        self._versions: dict[str, set[str]] = {}
+
+    def set_guard(self, guard: VersionGuard) -> None:
+        """Ask a guard before a server gets a request."""
+        self._guard = guard
+
+    def note_listing(self, server: str, is_leaving: bool) -> None:
+        """Follow the platform's list of leaving hosts."""
+        if is_leaving:
+            self._listed.add(server)
+        else:
+            self._listed.discard(server)
+
+    def apply(self, atlas: atlases.Atlas, data_centre: str) -> None:
+        """Follow a new configuration."""
+        now = self._clock.now()
+        is_first = self._atlas is None
+        self._atlas = atlas
+        centre = atlas.fleet.data_centres.get(data_centre)
+        self._versions = {}
+        for server in atlas.configuration.servers:
+            versions = self._versions.setdefault(server.service, set())
+            versions.add(server.version)
+        known, self._backends = self._backends, {}
+        self._services = {}
+        if centre is None:
+            return
+        self._region = centre.region
+        for service, servers in centre.servers.items():
+            members = self._services[service] = []
+            for server in servers:
+                backend = known.get(server.name)
+                if backend is None:
+                    backend = backends.Backend(server, now, not is_first)
+                elif backend.server.version != server.version:
+                    backend.warm_from_s = now
+                backend.server = server
+                self._backends[server.name] = backend
+                members.append(backend)
+
+    def count_running(self, server: str) -> int:
+        """Return the slots of a server that this host has in use."""
+        backend = self._backends.get(server)
+        return backend.count_used(self._clock.now()) if backend else 0
+
+    def count_all_running(self) -> int:
+        """Return the requests in flight to backend servers."""
+        return sum(backend.running for backend in self._backends.values())
+
+    def measure_loads(self) -> list[messages.ServiceLoad]:
+        """Return how busy the owned slots are, by service and version."""
+        loads = []
+        for service in self._services:
+            loads.append(self.measure_load(service))
+            versions = self._versions.get(service, set())
+            if len(versions) > 1:
+                loads.extend(
+                    self.measure_load(service, version)
+                    for version in sorted(versions)
+                )
+        return [
+            load for load in loads if load.usable or load.in_use or load.queued
+        ]
+
+    def measure_load(
+        self, service: str, version: str = ""
+    ) -> messages.ServiceLoad:
+        """Return how busy the owned slots of a service are.
+
+        Args:
+            service: The service.
+            version: Only servers that may run this version.
+        """
+        now = self._clock.now()
+        usable = used = 0
+        for backend, limit in self._list_limits((service, version), now):
+            usable += limit
+            used += min(limit, backend.count_used(now))
+        queued = sum(
+            len(queue)
+            for (name, wanted), queue in self._queues.items()
+            if name == service and version in ("", wanted)
+        )
+        name = name_load(service, version)
+        return messages.ServiceLoad(name, usable, used, queued)
+
+    def serve_queues(self) -> None:
+        """Give free slots to waiting requests."""
+        for wanted in list(self._queues):
+            self._serve_queue(wanted)
+
+    async def acquire(self, call: calls.Call) -> backends.Backend:
+        """Take a slot, waiting for one if that can help.
+
+        Raises:
+            Refusal: There is no slot in time; the request was not run.
+        """
+        wanted = (call.service, call.version)
+        queue = self._queues.setdefault(wanted, fairqueue.FairQueue())
+        if len(queue) == 0:
+            backend = self._pick(wanted, self._clock.now())
+            if backend is not None:
+                return backend
+        return await self._wait(call, wanted, queue)
+
+    def release(self, backend: backends.Backend) -> None:
+        """Give a slot back."""
+        backend.running -= 1
+        service = backend.server.service
+        for wanted in list(self._queues):
+            if wanted[0] == service:
+                self._serve_queue(wanted)
+
+    def count_ejected(self, service: str, now: float) -> tuple[int, int]:
+        """Return the ejected servers of a service, and all of them."""
+        members = self._services.get(service, [])
+        return sum(now < m.ejected_until_s for m in members), len(members)
+
+    async def _wait(
+        self, call: calls.Call, wanted: Wanted, queue: fairqueue.FairQueue
+    ) -> backends.Backend:
+        now = self._clock.now()
+        weight = self._require_atlas().contracts.weigh(call.account)
+        self._check_room(call, wanted, queue, weight, now)
+        waiter = queue.push(call.account, weight, call.deadline_s)
+        self._serve_queue(wanted)
+        try:
+            async with asyncio.timeout(call.deadline_s - now):
+                backend = await asyncio.shield(waiter.ready)
+        except TimeoutError as error:
+            self._abandon(waiter, queue)
+            raise refusals.refuse_late() from error
+        except asyncio.CancelledError:
+            self._abandon(waiter, queue)
+            raise
+        assert isinstance(backend, backends.Backend)
+        return backend
+
+    def _check_room(
+        self,
+        call: calls.Call,
+        wanted: Wanted,
+        queue: fairqueue.FairQueue,
+        weight: float,
+        now: float,
+    ) -> None:
+        """Refuse early what cannot be served within its deadline."""
+        limits = self._list_limits(wanted, now)
+        slots = sum(limit for _, limit in limits)
+        if slots == 0:
+            raise refusals.refuse_busy(
+                f"host {self._host} has no slots of service {call.service}"
+            )
+        per_slot = self._require_atlas().settings.resolve(
+            "queue_per_slot", self._clock.wall(), service=call.service
+        )
+        if not queue.allows(call.account, weight, int(per_slot * slots)):
+            raise refusals.refuse_busy("too many requests wait already")
+        latency_s = max(backend.latency_s for backend, _ in limits)
+        rounds = 1 + math.floor(len(queue) / slots)
+        if now + latency_s * (rounds + 1) > call.deadline_s:
+            raise refusals.refuse_busy(
+                "the queue is too long for the deadline",
+                retry_after_ms=int(latency_s * rounds * 1000) + 1,
+            )
+
+    def _abandon(
+        self, waiter: fairqueue.Waiter, queue: fairqueue.FairQueue
+    ) -> None:
+        ready = waiter.ready
+        if not ready.done():
+            ready.cancel()
+            queue.remove(waiter)
+        elif not ready.cancelled() and ready.exception() is None:
+            backend = ready.result()
+            assert isinstance(backend, backends.Backend)
+            self.release(backend)
+
+    def _list_limits(
+        self, wanted: Wanted, now: float
+    ) -> list[tuple[backends.Backend, int]]:
+        """Return the servers that may run something, and their slots."""
+        if not self._table.may_act(now):
+            return []
+        service, version = wanted
+        limits = []
+        for backend in self._services.get(service, ()):
+            server = backend.server
+            if version and not self._may_run(server, version):
+                continue
+            usable = self._table.count_owned(
+                backend.resource, server.slots, now
+            )
+            if usable > 0:
+                limits.append((backend, self._ramp(backend, usable, now)))
+        return limits
+
+    def _may_run(self, server: model.Server, version: str) -> bool:
+        if self._guard is None:
+            return server.version == version
+        return self._guard.may_run(server, version)
+
+    def _ramp(self, backend: backends.Backend, usable: int, now: float) -> int:
+        if backend.is_out(now) or backend.server.name in self._listed:
+            return 0
+        if backend.warm_from_s is None:
+            return usable
+        ramp_s = self._require_atlas().settings.resolve(
+            "cold_ramp_s",
+            self._clock.wall(),
+            service=backend.server.service,
+            server=backend.server.name,
+        )
+        return backend.limit_slots(usable, now, ramp_s)
+
+    def _pick(self, wanted: Wanted, now: float) -> backends.Backend | None:
+        """Take a slot of the least busy server."""
+        best: backends.Backend | None = None
+        best_score = (1.0, 0.0)
+        for backend, limit in self._list_limits(wanted, now):
+            used = backend.count_used(now)
+            if used >= limit:
+                continue
+            score = (used / limit, backend.latency_s)
+            if best is None or score < best_score:
+                best, best_score = backend, score
+        if best is None or not self._has_region_room(now):
+            return None
+        best.running += 1
+        return best
+
+    def _has_region_room(self, now: float) -> bool:
+        """Tell whether this host's part of the region's capacity is free.
+
+        The capacity is divided by slots, and each server's slots have one
+        owner, so that the parts never sum to more than the whole.
+        """
+        region = self._require_atlas().fleet.regions.get(self._region)
+        if region is None or region.capacity is None:
+            return True
+        owned = used = 0
+        for backend in self._backends.values():
+            owned += self._table.count_usable(
+                backend.resource, backend.server.slots, now
+            )
+            used += backend.count_used(now)
+        part = region.capacity * owned // max(1, region.count_slots())
+        return used < part
+
+    def _serve_queue(self, wanted: Wanted) -> None:
+        queue = self._queues[wanted]
+        while len(queue):
+            now = self._clock.now()
+            backend = self._pick(wanted, now)
+            if backend is None:
+                return
+            waiter = queue.pop(now)
+            if waiter is None:
+                backend.running -= 1
+                return
+            waiter.ready.set_result(backend)
+
+    def _require_atlas(self) -> atlases.Atlas:
+        if self._atlas is None:
+            raise refusals.refuse_busy("this host has no configuration yet")
+        return self._atlas
+
+
+def name_load(service: str, version: str) -> str:
+    """Return the name under which a load is reported."""
+    return f"{service}@{version}" if version else service
+
+
+def build_resources(
+    atlas: atlases.Atlas, data_centre: str
+) -> dict[str, float]:
+    """Return the slot resources of a data centre with their hold times.
+
+    The hold is the longest time that a request may run, and a margin.
+    """
+    centre = atlas.fleet.data_centres.get(data_centre)
+    if centre is None:
+        return {}
+    holds = {}
+    for name, servers in centre.servers.items():
+        service = atlas.services.find_service(name)
+        assert service is not None
+        hold_s = service.max_deadline_ms / 1000 + HOLD_MARGIN_S
+        for server in servers:
+            holds[backends.name_resource(server.name)] = hold_s
+    return holds
--- a/src/cowslipshift/serving/wire.py
+++ b/src/cowslipshift/serving/wire.py
@@ -19,6 +19,8 @@
 ATTEMPT = "X-Forward-Attempt"
 SCOPE = "X-Forward-Scope"
 ROUTE = "X-Forward-Route"
+VERSION = "X-Forward-Version"
+ORIGIN = "X-Forward-Origin"
 IDEMPOTENT = "X-Forward-Idempotent"
 INCARNATION = "X-Forward-Incarnation"
 HEADERS = "X-Forward-Headers"
@@ -87,6 +89,8 @@
         ATTEMPT: attempt,
         SCOPE: scope.value,
         ROUTE: call.route,
+        VERSION: call.version,
+        ORIGIN: call.origin,
         IDEMPOTENT: "1" if call.idempotent else "0",
         INCARNATION: str(incarnation),
         PURPOSE: purpose,
@@ -132,6 +136,8 @@
             deadline_s=now + int(headers[TIMEOUT]) / 1000,
             scope=calls.Scope(headers[SCOPE]),
             attempt=headers[ATTEMPT],
+            origin=headers[ORIGIN],
+            version=headers[VERSION],
         )
     except (KeyError, ValueError, msgspec.DecodeError) as error:
         raise refusals.refuse_bad(
--- a/src/cowslipshift/world/atlas.py
+++ b/src/cowslipshift/world/atlas.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from cowslipshift.config import resolution
+from cowslipshift.config import weights
 from cowslipshift.world import blocks
 from cowslipshift.world import contracts
 from cowslipshift.world import fleet
@@ -24,4 +25,5 @@
         self.services = services.ServiceTable(configuration)
         self.contracts = contracts.ContractBook(configuration)
         self.blocks = blocks.BlockTable(configuration)
+        self.weights = weights.WeightTable(configuration.shifts)
         self.settings = resolution.Settings(configuration)
