--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -13,6 +13,7 @@
 
 from bench import fairness
 from bench import lookups
+from bench import moves
 from bench import requests
 from bench import skew
 
@@ -57,6 +58,18 @@
         """
         _report("fairness", fairness.measure(seconds), save)
 
+    def moves(
+        self, runs: int = 100, workers: int = 4, save: bool = False
+    ) -> None:
+        """Version moves over many seeded runs, against a naive rollout.
+
+        Args:
+            runs: Runs of each kind of version.
+            workers: Processes to use.
+            save: Keep the result in docs/measurements.
+        """
+        _report("moves", asyncio.to_thread(moves.measure, runs, workers), save)
+
     def skew(self, save: bool = False) -> None:
         """Ways to divide an account, under skewed and moving demand.
 
--- a/src/cowslipshift/console/application.py
+++ b/src/cowslipshift/console/application.py
@@ -10,6 +10,7 @@
 from cowslipshift import exceptions
 from cowslipshift.console import output
 from cowslipshift.console.commands import accounts
+from cowslipshift.console.commands import changes
 from cowslipshift.console.commands import config
 from cowslipshift.console.commands import fleet
 from cowslipshift.console.commands import rules
@@ -23,6 +24,8 @@
     "exception": rules.ExceptionCommand,
     "account": accounts.AccountCommand,
     "key": accounts.KeyCommand,
+    "move": changes.MoveCommand,
+    "shift": changes.ShiftCommand,
     "fleet": fleet.FleetCommand,
     "lookup": fleet.lookup,
     "standin": standin.StandinCommand,
--- /dev/null
+++ b/src/cowslipshift/console/commands/changes.py
@@ -0,0 +1,302 @@
+"""``cowslipshift move`` and ``cowslipshift shift``."""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+import time
+from typing import Any
+from typing import TYPE_CHECKING
+import uuid
+
+import msgspec
+
+from cowslipshift.config import edits
+from cowslipshift.config import model
+from cowslipshift.config import weights
+from cowslipshift.console import fleetview
+from cowslipshift.console import output
+from cowslipshift.console import session
+from cowslipshift.console.commands import config
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+MS_PER_S = 1000
+POLL_S = 0.25
+TAKEN_BACK_STATUS = 4
+UNDECIDED_STATUS = 5
+
+
+class MoveCommand:
+    """Move a service to a new version that runs beside the old one."""
+
+    def start(
+        self,
+        service: str,
+        to_version: str,
+        from_version: str,
+        within_s: float,
+        reason: str,
+        bake_s: float = 30.0,
+        early_share: float = 0.05,
+        routes: str = "",
+        store: str | None = None,
+        author: str | None = None,
+        json: bool = False,
+    ) -> None:
+        """Start a move; it prints the move's id.
+
+        Args:
+            service: The service.
+            to_version: The new version; its servers are configured already.
+            from_version: The old version.
+            within_s: Seconds in which the move is done or taken back.
+            reason: Why, for other operators.
+            bake_s: Seconds with all traffic before the move is done.
+            early_share: Share of the traffic until more is earned.
+            routes: Routes that move, separated by commas; all if empty.
+            store: Base URLs of the store.
+            author: The operator.
+            json: Print JSON.
+        """
+        now_ms = int(time.time() * MS_PER_S)
+        entry = model.Move(
+            id=uuid.uuid4().hex[:12],
+            service=service,
+            from_version=str(from_version),
+            to_version=str(to_version),
+            start_ms=now_ms,
+            end_ms=now_ms + int(within_s * MS_PER_S),
+            bake_s=float(bake_s),
+            early_share=float(early_share),
+            routes=tuple(r for r in str(routes).split(",") if r),
+            reason=reason,
+        )
+        edit = edits.add_entry("moves", entry)
+        asyncio.run(config.make_change(edit, reason, store, author, json))
+        if not json:
+            print(f"move {entry.id}")
+
+    def remove(
+        self,
+        id: str,
+        reason: str,
+        store: str | None = None,
+        author: str | None = None,
+        json: bool = False,
+    ) -> None:
+        """Remove a move that has ended.
+
+        Args:
+            id: Its id.
+            reason: Why, for other operators.
+            store: Base URLs of the store.
+            author: The operator.
+            json: Print JSON.
+        """
+        edit = edits.remove_entry("moves", str(id))
+        asyncio.run(config.make_change(edit, reason, store, author, json))
+
+    def status(self, host: str | None = None, json: bool = False) -> None:
+        """Show all moves as one host sees them.
+
+        Args:
+            host: Base URL of any host.
+            json: Print JSON.
+        """
+        rows = asyncio.run(_fetch_rows(host, "moves"))
+        table = [
+            ["ID", "SERVICE", "FROM", "TO", "PHASE", "SHARE", "RECORDED", ""]
+        ]
+        table += [
+            [
+                row["id"],
+                row["service"],
+                row["from"],
+                row["to"],
+                row["phase"],
+                f"{row['share']:.0%}",
+                "yes" if row["recorded"] else "no",
+                row["reason"],
+            ]
+            for row in rows
+        ]
+        output.print_result(rows, output.format_table(table), json)
+
+    def wait(
+        self,
+        id: str,
+        host: str | None = None,
+        timeout_s: float = 600.0,
+        json: bool = False,
+    ) -> None:
+        """Wait until a move is done or taken back.
+
+        The exit status is 0 if it is done, 4 if it was taken back and 5 if
+        neither happened in time.
+
+        Args:
+            id: Its id.
+            host: Base URL of any host.
+            timeout_s: How long to wait.
+            json: Print JSON.
+        """
+        row = asyncio.run(_wait_move(host, str(id), timeout_s))
+        if row is None or not row["recorded"]:
+            print(f"move {id} is not decided yet", file=sys.stderr)
+            sys.exit(UNDECIDED_STATUS)
+        output.print_result(
+            row, [f"move {id} is {row['phase']} {row['reason']}".strip()], json
+        )
+        if row["phase"] != "done":
+            sys.exit(TAKEN_BACK_STATUS)
+
+
+class ShiftCommand:
+    """Shift a service's traffic away from a place, or back."""
+
+    def start(
+        self,
+        service: str,
+        place: str,
+        to_weight: float,
+        reason: str,
+        cap_per_s: float | None = None,
+        store: str | None = None,
+        author: str | None = None,
+        json: bool = False,
+    ) -> None:
+        """Start a shift from where the place stands now.
+
+        Args:
+            service: The service.
+            place: A region or a data centre.
+            to_weight: Part of the place's traffic that stays; 0 drains it.
+            reason: Why, for other operators.
+            cap_per_s: Part that moves in a second; the default if left out.
+            store: Base URLs of the store.
+            author: The operator.
+            json: Print JSON.
+        """
+        asyncio.run(
+            _start_shift(
+                service,
+                place,
+                float(to_weight),
+                reason,
+                cap_per_s,
+                store,
+                author,
+                json,
+            )
+        )
+
+    def status(self, host: str | None = None, json: bool = False) -> None:
+        """Show all shifts, and what still runs where traffic leaves.
+
+        Args:
+            host: Base URL of any host.
+            json: Print JSON.
+        """
+        rows = asyncio.run(_fetch_shifts(host))
+        table = [
+            ["ID", "SERVICE", "PLACE", "STAYS", "GOAL", "LEFT", "RUNNING"]
+        ]
+        table += [
+            [
+                row["id"],
+                row["service"],
+                row["place"],
+                f"{row['weight']:.1%}",
+                f"{row['to']:.1%}",
+                f"{row['left_s']:g} s",
+                str(row["running"]),
+            ]
+            for row in rows
+        ]
+        output.print_result(rows, output.format_table(table), json)
+
+
+async def _start_shift(
+    service: str,
+    place: str,
+    to_weight: float,
+    reason: str,
+    cap_per_s: float | None,
+    store: str | None,
+    author: str | None,
+    as_json: bool,
+) -> None:
+    async with session.open_editor(store, author) as editor:
+        now = time.time()
+
+        def edit(old: model.Configuration) -> model.Configuration:
+            table = weights.WeightTable(old.shifts)
+            cap = cap_per_s or old.defaults.shift_cap_per_s
+            entry = model.Shift(
+                id=uuid.uuid4().hex[:12],
+                service=service,
+                place=place,
+                from_weight=table.measure_weight(service, place, now),
+                to_weight=to_weight,
+                start_ms=int(now * MS_PER_S),
+                cap_per_s=float(cap),
+                reason=reason,
+                author=editor.author,
+            )
+            others = [
+                shift
+                for shift in old.shifts
+                if (shift.service, shift.place) != (service, place)
+            ]
+            return msgspec.structs.replace(old, shifts=(*others, entry))
+
+        new = await editor.change(reason, now, edit)
+    entry = new.shifts[-1]
+    left_s = weights.measure_left(entry, now)
+    output.print_result(
+        {"id": entry.id, "revision": new.revision, "left_s": left_s},
+        [
+            f"shift {entry.id} stored as revision {new.revision}, "
+            f"complete in {left_s:.0f} s"
+        ],
+        as_json,
+    )
+
+
+async def _fetch_rows(host: str | None, what: str) -> Sequence[dict[str, Any]]:
+    fleet = await fleetview.fetch_fleet(session.find_host_url(host))
+    for status in fleet.values():
+        if status is not None:
+            rows: list[dict[str, Any]] = status[what]
+            return rows
+    return []
+
+
+async def _fetch_shifts(host: str | None) -> list[dict[str, Any]]:
+    fleet = await fleetview.fetch_fleet(session.find_host_url(host))
+    statuses = [status for status in fleet.values() if status is not None]
+    rows: list[dict[str, Any]] = statuses[0]["shifts"] if statuses else []
+    for row in rows:
+        row["running"] = sum(
+            load["in_use"]
+            for status in statuses
+            if row["place"] in (status["region"], status["data_centre"])
+            for load in status["loads"]
+            if load["service"] == row["service"]
+        )
+    return rows
+
+
+async def _wait_move(
+    host: str | None, id: str, timeout_s: float
+) -> dict[str, Any] | None:
+    until_s = time.monotonic() + timeout_s
+    while True:
+        rows = await _fetch_rows(host, "moves")
+        found = next((row for row in rows if row["id"] == id), None)
+        decided = found is not None and found["recorded"]
+        if decided or time.monotonic() >= until_s:
+            return found
+        await asyncio.sleep(POLL_S)
--- a/src/cowslipshift/daemon/storewatcher.py
+++ b/src/cowslipshift/daemon/storewatcher.py
@@ -25,7 +25,7 @@
 
 RETRY_S = 0.5
 MAX_RETRY_S = 5.0
-REREAD_INTERVAL_S = 10.0
+REREAD_INTERVAL_S = 3.0
 """A watcher reads the configuration this often, should its watch be mute."""
 
 LISTED = "listed"
