--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -15,6 +15,7 @@
 from bench import lookups
 from bench import moves
 from bench import requests
+from bench import scale
 from bench import skew
 
 if TYPE_CHECKING:
@@ -70,6 +71,14 @@
         """
         _report("moves", asyncio.to_thread(moves.measure, runs, workers), save)
 
+    def scale(self, save: bool = False) -> None:
+        """What a daemon spends on control, for four sizes of data centre.
+
+        Args:
+            save: Keep the result in docs/measurements.
+        """
+        _report("scale", scale.measure(), save)
+
     def skew(self, save: bool = False) -> None:
         """Ways to divide an account, under skewed and moving demand.
 
--- a/src/cowslipshift/standins/localfleet.py
+++ b/src/cowslipshift/standins/localfleet.py
@@ -221,6 +221,10 @@
         )
         return {s.name: a for s, a in zip(servers, answers, strict=True)}
 
+    def find_pid(self, name: str) -> int:
+        """Return the process id of a process of this fleet."""
+        return self._processes[name].pid
+
     def signal_process(self, name: str, number: int) -> None:
         """Send a signal to a process of this fleet."""
         self._processes[name].send_signal(number)
