--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -16,6 +16,7 @@
 from bench import moves
 from bench import requests
 from bench import scale
+from bench import sizes
 from bench import skew
 
 if TYPE_CHECKING:
@@ -79,6 +80,14 @@
         """
         _report("scale", scale.measure(), save)
 
+    def sizes(self, save: bool = False) -> None:
+        """Memory and processor time of one daemon's parts, by their size.
+
+        Args:
+            save: Keep the result in docs/measurements.
+        """
+        _report("sizes", asyncio.to_thread(sizes.measure), save)
+
     def skew(self, save: bool = False) -> None:
         """Ways to divide an account, under skewed and moving demand.
 
--- a/bench/scale.py
+++ b/bench/scale.py
@@ -22,7 +22,9 @@
     """Measure idle cost and changes for each size, and fit slopes."""
     rows = [await _measure_size(size) for size in SIZES]
     fits = {
-        name: _fit([row["hosts"] for row in rows], [row[name] for row in rows])
+        name: fit_line(
+            [row["hosts"] for row in rows], [row[name] for row in rows]
+        )
         for name in (
             "control_bytes_per_s",
             "core_percent",
@@ -121,7 +123,7 @@
     return {**total, "at_s": time.monotonic()}
 
 
-def _fit(sizes: list[int], values: list[float]) -> dict[str, float]:
+def fit_line(sizes: list[int], values: list[float]) -> dict[str, float]:
     """Fit a straight line by least squares."""
     count = len(sizes)
     mean_x, mean_y = sum(sizes) / count, sum(values) / count
--- a/src/cowslipshift/daemon/host.py
+++ b/src/cowslipshift/daemon/host.py
@@ -132,7 +132,7 @@
     def apply(self, configuration: model.Configuration, source: str) -> None:
         """Put a configuration in force."""
         now = self.clock.now()
-        atlas = atlases.Atlas(configuration)
+        atlas = atlases.Atlas(configuration, self.atlas)
         self.atlas = atlas
         centre_name = self.settings.data_centre
         centre = atlas.fleet.data_centres.get(centre_name)
--- /dev/null
+++ b/tests/store/test_client.py
@@ -0,0 +1,96 @@
+"""The store client against the stand-in, faults included."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import aiohttp
+import pytest
+import pytest_asyncio
+
+from cowslipshift.standins import runner
+from cowslipshift.standins import store as stores
+from cowslipshift.store import client as clients
+from cowslipshift.store import exceptions
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+
+class Bench:
+    """A stand-in and a client of it."""
+
+    def __init__(
+        self, standin: stores.StoreStandIn, client: clients.StoreClient
+    ) -> None:
+        self.standin = standin
+        self.client = client
+
+
+@pytest_asyncio.fixture
+async def bench() -> AsyncIterator[Bench]:
+    standin = stores.StoreStandIn()
+    site, port = await runner.start_site(
+        standin.build_application(), "127.0.0.1", 0
+    )
+    async with aiohttp.ClientSession() as session:
+        url = f"http://127.0.0.1:{port}"
+        yield Bench(standin, clients.StoreClient([url], session))
+    await site.cleanup()
+
+
+async def test_swap_needs_the_expected_revision(bench: Bench) -> None:
+    client = bench.client
+    assert await client.swap_key("/k", b"1", 0)
+    assert not await client.swap_key("/k", b"2", 0)
+    pair = await client.get_key("/k")
+    assert pair is not None
+    assert await client.swap_key("/k", b"2", pair.mod_revision, {"/l": b"x"})
+    assert [p.value for p in await client.list_keys("/")] == [b"2", b"x"]
+    pair = await client.get_key("/k")
+    assert pair is not None
+    assert await client.delete_key("/k", pair.mod_revision)
+    assert await client.get_key("/k") is None
+
+
+async def test_lost_answer_may_have_taken_effect(bench: Bench) -> None:
+    bench.standin.faults.lose_writes = 1
+    with pytest.raises(exceptions.StoreUnavailableError):
+        await bench.client.swap_key("/k", b"1", 0)
+    pair = await bench.client.get_key("/k")
+    assert pair is not None
+    assert pair.value == b"1"
+
+
+async def test_outage_and_rubbish_are_errors_with_codes(bench: Bench) -> None:
+    bench.standin.faults.rubbish = True
+    with pytest.raises(exceptions.StoreAnswerError) as rubbish:
+        await bench.client.get_key("/k")
+    assert rubbish.value.code == "store_bad_answer"
+    bench.standin.faults.down = True
+    with pytest.raises(exceptions.StoreUnavailableError) as down:
+        await bench.client.get_key("/k")
+    assert down.value.code == "store_unavailable"
+
+
+async def test_lease_lapses_with_its_keys(bench: Bench) -> None:
+    client = bench.client
+    lease = await client.grant_lease(60)
+    await client.swap_key("/k", b"1", 0, {"/leased": b"x"}, lease)
+    assert await client.keep_lease(lease) == 60
+    await client.revoke_lease(lease)
+    assert await client.get_key("/leased") is None
+    assert await client.keep_lease(lease) == 0
+
+
+async def test_watch_shows_changes_and_deletions(bench: Bench) -> None:
+    client = bench.client
+    events = client.watch_prefix("/k")
+    assert (await anext(events)).kv is None
+    await client.swap_key("/k1", b"1", 0)
+    event = await anext(events)
+    assert event.kv is not None
+    assert (event.kv.key, event.kv.value) == ("/k1", b"1")
+    await client.delete_key("/k1", event.kv.mod_revision)
+    assert (await anext(events)).deleted
+    await events.aclose()  # type: ignore[attr-defined]
--- a/tests/system/test_changes.py
+++ b/tests/system/test_changes.py
@@ -10,8 +10,8 @@
 import msgspec
 import pytest_asyncio
 
-from cowslipshift.config import edits
 from cowslipshift.config import editor as editors
+from cowslipshift.config import edits
 from cowslipshift.config import exceptions
 from cowslipshift.config import model
 from cowslipshift.standins import localfleet
