An attempt that arrives after its record has expired never starts

Cause: 4,000 examples of the outcomes machine delivered an attempt twice, the second time after the book had forgotten the first. Red before, green after (60 examples).

--- a/src/cowslipshift/coordination/attempts.py
+++ b/src/cowslipshift/coordination/attempts.py
@@ -37,13 +37,21 @@
             collections.OrderedDict()
         )
 
-    def try_start(self, attempt: str, now: float) -> bool:
+    def try_start(self, attempt: str, age_s: float, now: float) -> bool:
         """Record that an attempt starts.
 
+        Args:
+            attempt: Its id.
+            age_s: Seconds since it was sent. One that is older than the
+                book's retention may have been forgotten and never starts.
+            now: Monotonic time in seconds.
+
         Returns:
             Whether it may start: it was neither started nor taken back.
         """
         self._expire(now)
+        if age_s >= self._retention_s:
+            return False
         if attempt in self._states or len(self._states) >= MAX_ATTEMPTS:
             return False
         self._states[attempt] = (True, now)
--- a/src/cowslipshift/serving/forwarding.py
+++ b/src/cowslipshift/serving/forwarding.py
@@ -159,6 +159,7 @@
             scope=scope,
             attempt=attempt,
             incarnation=self._find_incarnation(target),
+            wall_s=self._clock.wall(),
         )
         headers.update(self._sign())
         url = f"http://{address}/peer/forward/{call.service}{call.path}"
--- a/src/cowslipshift/serving/peerapi.py
+++ b/src/cowslipshift/serving/peerapi.py
@@ -157,7 +157,9 @@
         meant = int(request.headers.get(wire.INCARNATION, "0"))
         if meant not in (0, self._get_incarnation()):
             raise refusals.refuse_busy("the process that was meant is gone")
-        if not self._book.try_start(call.attempt, self._clock.now()):
+        sent_s = int(request.headers.get(wire.SENT, "0")) / 1000
+        age_s = self._clock.wall() - sent_s
+        if not self._book.try_start(call.attempt, age_s, self._clock.now()):
             if self._book.was_started(call.attempt):
                 raise refusals.refuse_unknown("this attempt came twice")
             raise refusals.refuse_busy("this attempt was taken back")
--- a/src/cowslipshift/serving/wire.py
+++ b/src/cowslipshift/serving/wire.py
@@ -36,6 +36,7 @@
 PURPOSE_KEYED = "keyed"
 """The receiver is asked as the home of the idempotency key."""
 
+SENT = "X-Forward-Sent-Ms"
 TIMEOUT = "X-Request-Timeout-Ms"
 REQUEST_ID = "X-Request-Id"
 IDEMPOTENCY_KEY = "Idempotency-Key"
@@ -72,6 +73,7 @@
     scope: calls.Scope,
     attempt: str,
     incarnation: int,
+    wall_s: float,
 ) -> dict[str, str]:
     """Build the headers of a forwarded request.
 
@@ -82,6 +84,7 @@
         scope: How far the receiver may pass it on.
         attempt: Id of this attempt.
         incarnation: The receiver's process that is meant, or 0 for any.
+        wall_s: Unix time in seconds.
     """
     return {
         ACCOUNT: call.account,
@@ -94,6 +97,7 @@
         IDEMPOTENT: "1" if call.idempotent else "0",
         INCARNATION: str(incarnation),
         PURPOSE: purpose,
+        SENT: str(int(wall_s * 1000)),
         TIMEOUT: str(max(1, int(remaining_s * 1000))),
         REQUEST_ID: call.id,
         IDEMPOTENCY_KEY: call.key,
--- a/tests/coordination/test_parts.py
+++ b/tests/coordination/test_parts.py
@@ -79,9 +79,10 @@
 def test_attempt_taken_back_never_starts() -> None:
     book = attempts.AttemptBook(0.0, 5.0)
     assert book.recall("a", 0.1, 1.0) is attempts.Recall.NOT_STARTED
-    assert not book.try_start("a", 1.1)
-    assert book.try_start("b", 1.2)
+    assert not book.try_start("a", 0.2, 1.1)
+    assert book.try_start("b", 0.0, 1.2)
     assert book.recall("b", 0.1, 1.3) is attempts.Recall.STARTED
+    assert not book.try_start("old", 5.0, 1.4)
     young = attempts.AttemptBook(1.0, 5.0)
     assert young.recall("c", 2.0, 2.0) is attempts.Recall.UNKNOWN
 
--- a/tests/fuzz/test_outcomes_machine.py
+++ b/tests/fuzz/test_outcomes_machine.py
@@ -69,7 +69,7 @@
         sent = data.draw(st.sampled_from(self.flying + self.delayed))
         if sent.executor != self.executor:
             return
-        if self.book.try_start(sent.attempt, self.now):
+        if self.book.try_start(sent.attempt, self.now - sent.sent_s, self.now):
             self.runs[sent.key.text] += 1
             assert self.runs[sent.key.text] == 1, "a key ran twice"
             self.started.append(sent)
