--- a/Makefile
+++ b/Makefile
@@ -22,14 +22,14 @@
 	COWSLIPSHIFT_FUZZ_EXAMPLES=2000 $(BIN)/python -m pytest tests/fuzz
 
 lint: install
-	$(BIN)/ruff format --check src tests bench
-	$(BIN)/ruff check src tests bench
-	$(BIN)/flake8 src tests bench
+	$(BIN)/ruff format --check src tests bench examples
+	$(BIN)/ruff check src tests bench examples
+	$(BIN)/flake8 src tests bench examples
 	$(BIN)/mypy
 
 format: install
-	$(BIN)/ruff format src tests bench
-	$(BIN)/ruff check --fix src tests bench
+	$(BIN)/ruff format src tests bench examples
+	$(BIN)/ruff check --fix src tests bench examples
 
 bench: install
 	$(BIN)/python -m bench --help
--- /dev/null
+++ b/examples/outcomes.py
@@ -0,0 +1,23 @@
+"""An order that is sent twice and runs once."""
+
+from __future__ import annotations
+
+from cowslipshift.coordination import outcomes
+from cowslipshift.serving import idempotency
+
+NOW_S = 1_800_000_000.0
+
+
+def main() -> None:
+    """Decide on an order, record its answer, and decide again."""
+    table = outcomes.OutcomeTable(known_since_s=NOW_S - 60)
+    key = outcomes.parse_key(idempotency.make_key(wall_s=NOW_S))
+    assert key is not None
+    print("first:", table.start("workshop", key, 1, NOW_S).value)
+    answer = outcomes.Answer(200, [], b"approved")
+    table.finish("workshop", key.text, answer, NOW_S + 1)
+    print("again:", table.start("workshop", key, 1, NOW_S + 2).value)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/examples/shares.py
@@ -0,0 +1,25 @@
+"""An account shared by two hosts; one borrows from the other."""
+
+from __future__ import annotations
+
+from cowslipshift.coordination import shares
+
+
+def main() -> None:
+    """Lend a part of an account and take requests with it."""
+    holder = shares.AccountShare("workshop", now=0.0)
+    holder.set_base(shares.Terms(rate=10.0, burst=10.0), now=0.0, full=True)
+    borrower = shares.AccountShare("workshop", now=0.0)
+    for _ in range(4):
+        borrower.demand.note_arrival(0.0)
+    want = borrower.ask("holder", rate=4.0, tokens=4.0, now=0.0)
+    grant = holder.lend("borrower", want, now=0.01)
+    assert grant is not None
+    borrower.accept("holder", grant, now=0.02)
+    taken = sum(borrower.try_take(0.02) for _ in range(4))
+    left = holder.measure_tokens(0.02)
+    print(f"borrower ran {taken} requests, holder has {left:.1f} tokens")
+
+
+if __name__ == "__main__":
+    main()
