Full bursts at the first start only; silent tries need a retry in hand

Cause: a host that did not hold every account kept the right to start full and would have filled a burst a second time on taking an account over. Tries were given up at half of their time even without a retry left: at 900 ms of 1,500 ms 23 of 24 reads failed.

--- a/src/cowslipshift/serving/allowance.py
+++ b/src/cowslipshift/serving/allowance.py
@@ -121,7 +121,7 @@
                 share.set_base(base, now, full)
             elif share.is_holder:
                 share.set_base(None, now)
-        if self._shares and all(s.is_holder for s in self._shares.values()):
+        if self._table.may_act(now):
             self._starts_full = False
 
     def forget(self) -> None:
--- a/src/cowslipshift/serving/attempt.py
+++ b/src/cowslipshift/serving/attempt.py
@@ -42,11 +42,15 @@
 
     Attributes:
         blames: Whether the server itself is to blame.
+        has_retry: Whether a retry was taken from the budget for it.
     """
 
-    def __init__(self, message: str, blames: bool) -> None:
+    def __init__(
+        self, message: str, blames: bool, has_retry: bool = False
+    ) -> None:
         super().__init__(message)
         self.blames = blames
+        self.has_retry = has_retry
 
 
 class BackendClient:
@@ -69,6 +73,7 @@
         backend: backends.Backend,
         fresh: bool,
         stack: contextlib.AsyncExitStack,
+        try_spend: Callable[[], bool],
     ) -> calls.Reply:
         """Send a request and return the answer, read if it is small.
 
@@ -77,12 +82,13 @@
             backend: The server, one of whose slots the request has.
             fresh: Whether to open a connection for it.
             stack: Closed with the reply.
+            try_spend: Takes a retry from the budget if there is one.
 
         Raises:
             NotStartedError: The server did not run it.
             LostError: It is not known whether the server ran it.
         """
-        response = await self._open(call, backend, fresh)
+        response = await self._open(call, backend, fresh, try_spend)
         stack.callback(self._close, response, backend)
         self._check_unrun(backend, response)
         reply = calls.Reply(
@@ -97,20 +103,27 @@
         return reply
 
     async def _open(
-        self, call: calls.Call, backend: backends.Backend, fresh: bool
+        self,
+        call: calls.Call,
+        backend: backends.Backend,
+        fresh: bool,
+        try_spend: Callable[[], bool],
     ) -> aiohttp.ClientResponse:
         now = self._clock.now()
         suspect = now < backend.suspect_until_s
         pooled = call.idempotent and not fresh and not suspect
+        watch = _SilenceWatch(self._clock, call, backend, try_spend)
         try:
-            return await self._request(call, backend, pooled, now)
+            return await self._request(call, backend, pooled, watch)
         except aiohttp.ClientConnectorError as error:
             raise NotStartedError(str(error)) from error
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
             backend.hold(call.deadline_s)
             if pooled:
                 backend.suspect_connections(now)
-            raise LostError(repr(error), blames=not pooled) from error
+            raise LostError(
+                repr(error), not pooled, watch.has_given_up
+            ) from error
         except asyncio.CancelledError:
             backend.hold(self._clock.now() + backends.CANCEL_GRACE_S)
             raise
@@ -120,15 +133,15 @@
         call: calls.Call,
         backend: backends.Backend,
         pooled: bool,
-        now: float,
+        watch: _SilenceWatch,
     ) -> aiohttp.ClientResponse:
-        remaining_s = call.deadline_s - now
+        remaining_s = call.deadline_s - self._clock.now()
         session = self._sessions.pooled if pooled else self._sessions.fresh
         url = yarl.URL(
             backend.server.url.rstrip("/") + call.path, encoded=True
         )
         async with asyncio.timeout(remaining_s) as timeout:
-            watch = self._watch_silence(call, backend, now, timeout)
+            watch.start(timeout)
             try:
                 return await session.request(
                     call.method,
@@ -140,34 +153,6 @@
             finally:
                 watch.cancel()
 
-    def _watch_silence(
-        self,
-        call: calls.Call,
-        backend: backends.Backend,
-        started_s: float,
-        timeout: asyncio.Timeout,
-    ) -> _SilenceWatch:
-        """Give up a try whose connection has probably gone silent.
-
-        That is so when later requests are answered, or when half of the
-        time is over and another try would still fit.
-        """
-        loop = asyncio.get_running_loop()
-        usual_s = max(MIN_TRY_S, TRY_LATENCIES * backend.latency_s)
-        half_s = (call.deadline_s - started_s) / 2
-
-        def check() -> None:
-            now = self._clock.now()
-            if not (call.idempotent and call.body.content is not None):
-                return
-            half_over = now - started_s >= half_s > usual_s
-            if half_over or backend.is_overtaken(started_s, now):
-                timeout.reschedule(loop.time())
-
-        watch = _SilenceWatch(loop, check)
-        watch.start(min(usual_s, half_s))
-        return watch
-
     def _check_unrun(
         self, backend: backends.Backend, response: aiohttp.ClientResponse
     ) -> None:
@@ -203,31 +188,74 @@
 
 
 class _SilenceWatch:
-    """Calls a check now and then until it is cancelled."""
+    """Gives up a try whose connection has probably gone silent.
 
-    __slots__ = ("_check", "_handle", "_interval_s", "_loop")
+    That is so when later requests are answered meanwhile, or when half of
+    the time is over although the server usually takes far less. A try is
+    given up only if the budget has a retry for it; otherwise waiting on is
+    the better chance.
+    """
+
+    __slots__ = (
+        "_backend",
+        "_call",
+        "_clock",
+        "_handle",
+        "_interval_s",
+        "_started_s",
+        "_timeout",
+        "_try_spend",
+        "has_given_up",
+    )
 
     def __init__(
-        self, loop: asyncio.AbstractEventLoop, check: Callable[[], None]
+        self,
+        clock: clocks.Clock,
+        call: calls.Call,
+        backend: backends.Backend,
+        try_spend: Callable[[], bool],
     ) -> None:
-        self._loop = loop
-        self._check = check
-        self._interval_s = 0.0
+        self._clock = clock
+        self._call = call
+        self._backend = backend
+        self._try_spend = try_spend
+        self._started_s = clock.now()
+        self._interval_s = max(MIN_TRY_S, TRY_LATENCIES * backend.latency_s)
+        self._timeout: asyncio.Timeout | None = None
         self._handle: asyncio.TimerHandle | None = None
+        self.has_given_up = False
 
-    def start(self, interval_s: float) -> None:
-        """Begin to call the check."""
-        self._interval_s = interval_s
-        self._handle = self._loop.call_later(interval_s, self._run)
+    def start(self, timeout: asyncio.Timeout) -> None:
+        """Begin to look at the try now and then."""
+        if self._call.idempotent and self._call.body.content is not None:
+            self._timeout = timeout
+            self._look_later()
 
     def cancel(self) -> None:
-        """Stop calling it."""
+        """Stop looking."""
         if self._handle is not None:
             self._handle.cancel()
 
-    def _run(self) -> None:
-        self.start(self._interval_s)
-        self._check()
+    def _look_later(self) -> None:
+        loop = asyncio.get_running_loop()
+        self._handle = loop.call_later(self._interval_s, self._look)
+
+    def _look(self) -> None:
+        assert self._timeout is not None
+        if self._is_silent() and self._try_spend():
+            self.has_given_up = True
+            loop = asyncio.get_running_loop()
+            self._timeout.reschedule(loop.time())
+            return
+        self._look_later()
+
+    def _is_silent(self) -> bool:
+        now = self._clock.now()
+        if self._backend.is_overtaken(self._started_s, now):
+            return True
+        half_s = (self._call.deadline_s - self._started_s) / 2
+        is_known = self._backend.latency_s > 0.0
+        return is_known and now - self._started_s >= half_s
 
 
 def _build_headers(
--- a/src/cowslipshift/serving/dispatcher.py
+++ b/src/cowslipshift/serving/dispatcher.py
@@ -101,7 +101,7 @@
                 may_have_run = True
                 self._log_attempt(call, backend, "lost", error)
                 self._note_lost(call, backend, error)
-                self._check_retry(call, budget)
+                self._check_retry(call, error, budget)
             if not call.body.is_replayable:
                 break
         if may_have_run:
@@ -172,7 +172,9 @@
         stack = contextlib.AsyncExitStack()
         stack.callback(self._desk.release, backend)
         try:
-            reply = await self._client.send(call, backend, number > 0, stack)
+            reply = await self._client.send(
+                call, backend, number > 0, stack, budget.try_spend
+            )
             self._note_answer(call, backend, reply.status, started_s)
             if reply.status in RETRIED_STATUSES:
                 self._consider_retry(call, started_s, budget)
@@ -201,13 +203,17 @@
             raise _FailedError("the server answered with a failure")
 
     def _check_retry(
-        self, call: calls.Call, budget: budgets.RetryBudget
+        self,
+        call: calls.Call,
+        error: attempts.LostError,
+        budget: budgets.RetryBudget,
     ) -> None:
         """Refuse unless a request whose answer was lost may be repeated."""
         if self._clock.now() >= call.deadline_s:
             raise refusals.refuse_timeout()
         may_repeat = call.idempotent and call.body.is_replayable
-        if not may_repeat or not budget.try_spend():
+        has_retry = error.has_retry or (may_repeat and budget.try_spend())
+        if not has_retry:
             raise refusals.refuse_unknown(
                 "the connection to the backend server was lost"
             )
