--- a/bench/skew.py
+++ b/bench/skew.py
@@ -16,6 +16,7 @@
 
 import msgspec
 
+from cowslipshift.coordination import borrowing
 from cowslipshift.coordination import shares
 
 HOSTS = 10
@@ -153,7 +154,7 @@
         """Ask holders where demand lacks something."""
         self._deliver(now)
         for host, share in enumerate(self._shares):
-            plan = shares.plan_requests(
+            plan = borrowing.plan_requests(
                 share,
                 [str(h) for h in range(HOLDERS) if h != host],
                 waiting.get(host, 0),
--- a/src/cowslipshift/console/commands/accounts.py
+++ b/src/cowslipshift/console/commands/accounts.py
@@ -85,7 +85,7 @@
             store: Base URLs of the store.
             json: Print JSON.
         """
-        entries = asyncio.run(_read(store)).accounts
+        entries = asyncio.run(session.read_configuration(store)).accounts
         rows = [["ACCOUNT", "RATE", "BURST", "SERVICES"]]
         rows += [
             [a.name, f"{a.rate:g}", f"{a.burst:g}", ",".join(a.services)]
@@ -143,7 +143,7 @@
             store: Base URLs of the store.
             json: Print JSON.
         """
-        entries = asyncio.run(_read(store)).keys
+        entries = asyncio.run(session.read_configuration(store)).keys
         rows = [["ID", "ACCOUNT", "STATE"]]
         rows += [[key.id, key.account, key.state] for key in entries]
         output.print_result(entries, output.format_table(rows), json)
@@ -174,8 +174,3 @@
         ],
         as_json,
     )
-
-
-async def _read(store: str | None) -> model.Configuration:
-    async with session.open_editor(store) as editor:
-        return (await editor.read()).configuration
--- a/src/cowslipshift/console/commands/config.py
+++ b/src/cowslipshift/console/commands/config.py
@@ -44,7 +44,7 @@
         Args:
             store: Base URLs of the store.
         """
-        configuration = asyncio.run(_read(store))
+        configuration = asyncio.run(session.read_configuration(store))
         raw = document.encode_document(configuration)
         print(msgspec.json.format(raw, indent=2).decode())
 
@@ -83,7 +83,7 @@
             json: Print JSON.
         """
         changes = difference.list_changes(
-            asyncio.run(_read(store)), read_file(file)
+            asyncio.run(session.read_configuration(store)), read_file(file)
         )
         output.print_result(changes, changes or ["no difference"], json)
 
@@ -151,8 +151,3 @@
         as_json,
     )
     return new
-
-
-async def _read(store: str | None) -> model.Configuration:
-    async with session.open_editor(store) as editor:
-        return (await editor.read()).configuration
--- a/src/cowslipshift/console/commands/rules.py
+++ b/src/cowslipshift/console/commands/rules.py
@@ -48,7 +48,9 @@
             store: Base URLs of the store.
             json: Print JSON.
         """
-        defaults = msgspec.to_builtins(asyncio.run(_read(store)).defaults)
+        defaults = msgspec.to_builtins(
+            asyncio.run(session.read_configuration(store)).defaults
+        )
         rows = [[name, str(value)] for name, value in defaults.items()]
         output.print_result(defaults, output.format_table(rows), json)
 
@@ -134,7 +136,7 @@
             json: Print JSON.
         """
         now = time.time()
-        entries = asyncio.run(_read(store)).exceptions
+        entries = asyncio.run(session.read_configuration(store)).exceptions
         rows = [["ID", "SETTING", "VALUE", "SCOPE", "STATE", "BY", "REASON"]]
         for entry in entries:
             in_force = resolution.is_in_force(entry, now)
@@ -191,8 +193,3 @@
         if value is not None
     ]
     return ",".join(parts) or "everything"
-
-
-async def _read(store: str | None) -> model.Configuration:
-    async with session.open_editor(store) as editor:
-        return (await editor.read()).configuration
--- a/src/cowslipshift/console/session.py
+++ b/src/cowslipshift/console/session.py
@@ -16,6 +16,8 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
+    from cowslipshift.config import model
+
 STORE_VARIABLE = "COWSLIPSHIFT_STORE"
 HOST_VARIABLE = "COWSLIPSHIFT_HOST"
 AUTHOR_VARIABLE = "COWSLIPSHIFT_AUTHOR"
@@ -52,3 +54,9 @@
     if not url:
         raise UsageError(f"give --host or set {HOST_VARIABLE}")
     return url.rstrip("/")
+
+
+async def read_configuration(store: str | None) -> model.Configuration:
+    """Read the stored configuration."""
+    async with open_editor(store) as editor:
+        return (await editor.read()).configuration
--- a/src/cowslipshift/coordination/shares.py
+++ b/src/cowslipshift/coordination/shares.py
@@ -24,15 +24,8 @@
 """Usual gaps between arrivals after which demand counts as falling."""
 
 DEMAND_MARGIN = 1.3
-RENEW_BEFORE_S = TERM_S / 2
 RECALL_INTERVAL_S = 0.05
-RELEASE_PART = 0.7
-"""A loan is shrunk once demand needs less than this part of it."""
 
-OVERASK = 1.5
-IDLE_RATE = 0.05
-LOOK_AHEAD = 4.0
-"""Decisions ahead for which tokens must be at hand."""
 
 RESERVE_S = 1.0
 """Seconds of demand for which tokens are kept or asked."""
@@ -463,67 +456,6 @@
                 del self._wants[who]
 
 
-def plan_requests(
-    share: AccountShare,
-    holders: list[str],
-    waiting: int,
-    interval_s: float,
-    now: float,
-    exhausted: bool = False,
-) -> list[tuple[str, float, float]]:
-    """Decide what to ask of whom.
-
-    Args:
-        share: The asking host's part.
-        holders: Hosts that hold base parts, without this one.
-        waiting: Requests that wait for a token.
-        interval_s: Time until the next decision.
-        now: Monotonic time in seconds.
-        exhausted: Whether all holders just gave what they could; loans are
-            then only renewed.
-
-    Returns:
-        For each holder to ask: its name, the whole rate and the tokens.
-    """
-    demand = share.demand.measure(now)
-    borrowed = share.list_borrowed(now)
-    if not holders or (demand < IDLE_RATE and not waiting and not borrowed):
-        return []
-    at_hand = share.measure_tokens(now)
-    due = share.find_due(now, RENEW_BEFORE_S)
-    lacks = waiting > 0 or at_hand < demand * interval_s * LOOK_AHEAD
-    if exhausted or not lacks:
-        return _plan_release(share, borrowed, due, now)
-    rate, tokens = share.measure_shortage(now)
-    tokens = max(tokens, waiting - at_hand + 1.0)
-    plan = []
-    for holder in holders:
-        held = borrowed.get(holder, 0.0)
-        wanted = held + rate * OVERASK / len(holders)
-        each = tokens * OVERASK / len(holders)
-        plan.append((holder, max(wanted, IDLE_RATE), each))
-    return plan
-
-
-def _plan_release(
-    share: AccountShare,
-    borrowed: dict[str, float],
-    due: list[str],
-    now: float,
-) -> list[tuple[str, float, float]]:
-    """Renew the loans that are due, and shrink those not needed."""
-    plan = []
-    for holder, held in borrowed.items():
-        needed = share.measure_need(holder, now)
-        if needed < IDLE_RATE:
-            needed = 0.0
-        if needed < held * RELEASE_PART:
-            plan.append((holder, needed, 0.0))
-        elif holder in due:
-            plan.append((holder, held, 0.0))
-    return plan
-
-
 def _drop_ended(loans: dict[str, _Loan], now: float) -> None:
     for who, loan in list(loans.items()):
         if loan.until_s <= now:
--- a/src/cowslipshift/serving/allowance.py
+++ b/src/cowslipshift/serving/allowance.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from cowslipshift.coordination import borrowing
 from cowslipshift.coordination import hashing
 from cowslipshift.coordination import shares
 from cowslipshift.peers import messages
@@ -285,7 +286,7 @@
         now = self._clock.now()
         batches: dict[str, list[shares.Want]] = {}
         for account, share in self._shares.items():
-            plan = shares.plan_requests(
+            plan = borrowing.plan_requests(
                 share,
                 self._list_holders(account),
                 len(self._waiting.get(account, ())),
--- a/src/cowslipshift/serving/gateway.py
+++ b/src/cowslipshift/serving/gateway.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import re
 from typing import Any
 from typing import TYPE_CHECKING
 import uuid
@@ -14,8 +13,9 @@
 from cowslipshift.serving import bulkhead
 from cowslipshift.serving import calls
 from cowslipshift.serving import keyed as keyed_calls
+from cowslipshift.serving import parsing
 from cowslipshift.serving import refusals
-from cowslipshift.serving import wire
+from cowslipshift.serving import streaming
 from cowslipshift.telemetry import logs
 
 if TYPE_CHECKING:
@@ -27,36 +27,10 @@
     from cowslipshift.telemetry import metrics as metric
     from cowslipshift.world import atlas as atlases
 
-SERVICE_PREFIX = "/v1/services/"
 METHODS = frozenset({"GET", "HEAD", "POST", "PUT", "PATCH", "DELETE"})
 OPEN_ACCOUNT = "-"
 """Account name of requests on routes that are open to all."""
 
-PASSED_HEADERS = frozenset(
-    {
-        "accept",
-        "accept-encoding",
-        "accept-language",
-        "content-encoding",
-        "content-language",
-        "content-type",
-        "if-match",
-        "if-modified-since",
-        "if-none-match",
-        "if-unmodified-since",
-        "range",
-        "traceparent",
-        "tracestate",
-        "user-agent",
-    }
-)
-
-MAX_TIMEOUT_DIGITS = 9
-MAX_KEY_CHARS = 512
-MAX_KEYED_BODY_BYTES = 8 * 1024 * 1024
-
-_TRAVERSAL = re.compile(r"/(?:\.|%2e){1,2}(?:/|$)", re.IGNORECASE)
-
 
 CALLER_GONE_STATUS = 499
 MAX_LOOKUP_QUERIES = 20_000
@@ -122,7 +96,9 @@
         router.add_get("/v1/lookup", self.handle_lookup)
         router.add_get("/v1/outcomes/{service}", self.handle_outcome)
         router.add_route(
-            "*", SERVICE_PREFIX + "{service}{path:.*}", self.handle_request
+            "*",
+            parsing.SERVICE_PREFIX + "{service}{path:.*}",
+            self.handle_request,
         )
 
     async def handle_lookup(self, request: web.Request) -> web.Response:
@@ -242,14 +218,18 @@
                 reply.length <= calls.REPLAY_LIMIT_BYTES
             ):
                 return _build_answer(reply, await reply.read(), call.id)
-            return await _stream_answer(request, reply, call.id)
+            response = web.StreamResponse(
+                status=reply.status,
+                headers=_copy_reply_headers(reply, call.id),
+            )
+            return await streaming.stream_reply(request, response, reply)
 
     async def _parse_call(
         self, request: web.Request, request_id: str, now: float
     ) -> calls.Call:
         atlas = self._require_atlas()
         service = self._find_service(request)
-        path = _extract_path(request, service.name)
+        path = parsing.extract_path(request, service.name)
         route = atlas.services.find_route(service.name, path.partition("?")[0])
         if route is None:
             raise refusals.Refusal(
@@ -258,20 +238,20 @@
                 f"service {service.name} has no such route",
             )
         account, key_id, secret = self._check_key(request, service, route)
-        deadline_s = now + _parse_timeout_s(request, service)
-        key = _parse_idempotency_key(request, route)
+        deadline_s = now + parsing.parse_timeout_s(request, service)
+        key = parsing.parse_idempotency_key(request, route)
         if secret and secret in path:
             raise refusals.refuse_bad(
                 "key_in_path", "the key must not stand in the path or query"
             )
-        body = await _read_body(request, service, not route.idempotent)
+        body = await parsing.read_body(request, service, not route.idempotent)
         return calls.Call(
             id=request_id,
             service=service.name,
             route=route.name,
             method=request.method,
             path=path,
-            headers=_pass_headers(request, service, secret),
+            headers=parsing.pass_headers(request, service, secret),
             body=body,
             account=account,
             key_id=key_id,
@@ -347,7 +327,7 @@
     ) -> tuple[str, str, str]:
         """Return account, key id and key of a request."""
         contracts = self._require_atlas().contracts
-        secret = _parse_bearer(request)
+        secret = parsing.parse_bearer(request)
         if route.open:
             return OPEN_ACCOUNT, "", secret
         if not secret:
@@ -376,114 +356,6 @@
         return self._atlas
 
 
-def _parse_bearer(request: web.Request) -> str:
-    values = request.headers.getall("Authorization", [])
-    if not values:
-        return ""
-    scheme, _, secret = values[0].partition(" ")
-    if len(values) > 1 or scheme.lower() != "bearer" or not secret.strip():
-        raise refusals.refuse_bad(
-            "key_malformed", "send the key as 'Authorization: Bearer'"
-        )
-    if len(secret) > MAX_KEY_CHARS:
-        raise refusals.refuse_bad("key_malformed", "the key is too long")
-    return secret.strip()
-
-
-def _extract_path(request: web.Request, service: str) -> str:
-    """Return path and query below the service, as the caller wrote them."""
-    raw = request.raw_path
-    if not raw.startswith(SERVICE_PREFIX + service):
-        raise refusals.refuse_bad("path_malformed", "the path is malformed")
-    path = raw[len(SERVICE_PREFIX + service) :]
-    path = path.partition("#")[0]
-    if not path or path.startswith("?"):
-        path = "/" + path
-    if not path.startswith("/") or _TRAVERSAL.search(path.partition("?")[0]):
-        raise refusals.refuse_bad("path_malformed", "the path is malformed")
-    return path
-
-
-def _parse_timeout_s(request: web.Request, service: model.Service) -> float:
-    text = request.headers.get(wire.TIMEOUT)
-    if text is None:
-        return service.default_deadline_ms / 1000
-    if not (text.isascii() and text.isdecimal()) or (
-        len(text) > MAX_TIMEOUT_DIGITS or int(text) == 0
-    ):
-        raise refusals.refuse_bad(
-            "deadline_malformed",
-            f"{wire.TIMEOUT} must be a positive number of milliseconds",
-        )
-    if int(text) > service.max_deadline_ms:
-        raise refusals.refuse_bad(
-            "deadline_too_long",
-            f"service {service.name} allows {service.max_deadline_ms} ms",
-        )
-    return int(text) / 1000
-
-
-def _parse_idempotency_key(request: web.Request, route: model.Route) -> str:
-    if route.idempotent:
-        return ""
-    text = request.headers.get(wire.IDEMPOTENCY_KEY, "")
-    if not text:
-        raise refusals.refuse_bad(
-            "idempotency_key_missing",
-            f"route {route.name} needs the header {wire.IDEMPOTENCY_KEY}",
-        )
-    if outcomes.parse_key(text) is None:
-        raise refusals.refuse_bad(
-            "idempotency_key_malformed",
-            "the idempotency key must be [data-centre:]uuid-version-7",
-        )
-    return text
-
-
-def _pass_headers(
-    request: web.Request, service: model.Service, secret: str
-) -> list[tuple[str, str]]:
-    """Return the headers that a backend server may see, without the key."""
-    extra = {name.lower() for name in service.forward_headers}
-    return [
-        (name, value)
-        for name, value in request.headers.items()
-        if (name.lower() in PASSED_HEADERS or name.lower() in extra)
-        and not (secret and secret in value)
-    ]
-
-
-async def _read_body(
-    request: web.Request, service: model.Service, whole: bool
-) -> calls.Body:
-    """Read a body whole if it is small or must be repeated."""
-    if not request.body_exists:
-        return calls.Body(b"")
-    length = request.content_length
-    limit = service.max_body_bytes
-    if whole:
-        limit = min(limit, MAX_KEYED_BODY_BYTES)
-    if length is not None and length > limit:
-        raise _refuse_large(limit)
-    keep = limit if whole else calls.REPLAY_LIMIT_BYTES
-    head = bytearray()
-    async for chunk in request.content.iter_chunked(calls.CHUNK_BYTES):
-        head += chunk
-        if len(head) > limit:
-            raise _refuse_large(limit)
-        if len(head) > keep:
-            return calls.Body(
-                None, request.content, bytes(head), length, limit
-            )
-    return calls.Body(bytes(head))
-
-
-def _refuse_large(limit: int) -> refusals.Refusal:
-    return refusals.Refusal(
-        413, "body_too_large", f"the body may have {limit} bytes"
-    )
-
-
 def _build_refusal(refusal: refusals.Refusal, request_id: str) -> web.Response:
     headers = {"X-Request-Id": request_id}
     if refusal.retry_after_ms is not None:
@@ -514,26 +386,3 @@
         body=content,
         headers=_copy_reply_headers(reply, request_id),
     )
-
-
-async def _stream_answer(
-    request: web.Request, reply: calls.Reply, request_id: str
-) -> web.StreamResponse:
-    response = web.StreamResponse(
-        status=reply.status,
-        headers=_copy_reply_headers(reply, request_id),
-    )
-    if reply.length is not None:
-        response.content_length = reply.length
-    try:
-        await response.prepare(request)
-        async for chunk in reply.iterate():
-            await response.write(chunk)
-        await response.write_eof()
-    except BaseException:
-        if request.transport is not None:
-            request.transport.abort()
-        raise
-    finally:
-        await reply.close()
-    return response
--- a/src/cowslipshift/serving/peerapi.py
+++ b/src/cowslipshift/serving/peerapi.py
@@ -11,6 +11,7 @@
 from cowslipshift.peers import exceptions as peer_exceptions
 from cowslipshift.serving import calls
 from cowslipshift.serving import refusals
+from cowslipshift.serving import streaming
 from cowslipshift.serving import wire
 from cowslipshift.telemetry import logs
 
@@ -218,32 +219,20 @@
 async def _send_reply(
     request: web.Request, reply: calls.Reply, headers: dict[str, str]
 ) -> web.StreamResponse:
-    small = reply.length is not None and (
-        reply.length <= calls.REPLAY_LIMIT_BYTES
-    )
-    if small:
-        response: web.StreamResponse = web.Response(
-            status=reply.status, body=await reply.read()
-        )
-    else:
-        response = web.StreamResponse(status=reply.status)
-        response.content_length = reply.length
+    if reply.length is not None and reply.length <= calls.REPLAY_LIMIT_BYTES:
+        small = web.Response(status=reply.status, body=await reply.read())
+        _set_headers(small, reply, headers)
+        return small
+    response = web.StreamResponse(status=reply.status)
+    _set_headers(response, reply, headers)
+    return await streaming.stream_reply(request, response, reply)
+
+
+def _set_headers(
+    response: web.StreamResponse, reply: calls.Reply, headers: dict[str, str]
+) -> None:
     response.headers.popall("Content-Type", None)
     for name, value in reply.headers:
         response.headers.add(name, value)
     for name, value in headers.items():
         response.headers[name] = value
-    if small:
-        return response
-    try:
-        await response.prepare(request)
-        async for chunk in reply.iterate():
-            await response.write(chunk)
-        await response.write_eof()
-    except BaseException:
-        if request.transport is not None:
-            request.transport.abort()
-        raise
-    finally:
-        await reply.close()
-    return response
