--- a/src/cowslipshift/daemon/host.py
+++ b/src/cowslipshift/daemon/host.py
@@ -208,6 +208,13 @@
         """Tell whether a host is this one or linked."""
         return host == self.settings.name or self.network.is_linked(host)
 
+    def is_fully_linked(self) -> bool:
+        """Tell whether a link to each wanted host is open."""
+        if self.atlas is None:
+            return False
+        wanted = relays.choose_peers(self.atlas.fleet, self.settings.name)
+        return wanted <= set(self.network.list_linked())
+
     def list_centre_hosts(self, centre: str) -> list[str]:
         """Return the reachable hosts of a data centre."""
         if self.atlas is None:
--- a/src/cowslipshift/daemon/service.py
+++ b/src/cowslipshift/daemon/service.py
@@ -25,6 +25,9 @@
 SUPERSEDED_STATUS = 3
 """Exit status of a process that a later one of the same host replaced."""
 
+LINK_WAIT_S = 2.0
+"""Longest time that a starting host waits for links to others."""
+
 LEAVE_NOTICE_S = 1.0
 """Time for the word that a host leaves to reach look-ups elsewhere."""
 
@@ -52,6 +55,7 @@
         )
         await parts.watcher.read_once()
         self._start_tasks()
+        await self._wait_linked()
         self._caller_runner = await _listen(parts.callers, settings.listen)
         parts.host.announce(hosts.IS_LIVE)
         self._log.info(
@@ -80,6 +84,20 @@
         await self._close()
         self._log.info("stopped")
 
+    async def _wait_linked(self) -> None:
+        """Give links a moment before callers come.
+
+        Without links a host has no part of any account to admit requests
+        with, and knows no load of others.
+        """
+        host = self._assembly.host
+        loop = asyncio.get_running_loop()
+        until_s = loop.time() + LINK_WAIT_S
+        while loop.time() < until_s:
+            if host.is_fully_linked() and host.roster.is_settled():
+                return
+            await asyncio.sleep(POLL_S)
+
     def _start_tasks(self) -> None:
         parts = self._assembly
         jobs: list[Coroutine[Any, Any, None]] = [
--- a/src/cowslipshift/serving/allowance.py
+++ b/src/cowslipshift/serving/allowance.py
@@ -361,6 +361,13 @@
     def _refuse(
         self, account: str, share: shares.AccountShare
     ) -> refusals.Refusal:
+        if share.measure_rate(self._clock.now()) <= 0.0:
+            return refusals.Refusal(
+                503,
+                "account_unreachable",
+                f"no part of account {account} is within reach of this host",
+                retry_after_ms=1000,
+            )
         wait_s = min(share.measure_wait(self._clock.now()), shares.TERM_S)
         return refusals.Refusal(
             429,
