--- a/src/cowslipshift/daemon/membership.py
+++ b/src/cowslipshift/daemon/membership.py
@@ -229,8 +229,10 @@
         waited = self._roster.measure_suspension(now) > STORE_WAIT_S
         self._roster.try_resume(now, store_cleared=cleared or waited)
 
-    async def _write(self, fences: Fences, known: object) -> None:
-        revision = getattr(known, "mod_revision", 0)
+    async def _write(
+        self, fences: Fences, known: clients.KeyValue | None
+    ) -> None:
+        revision = known.mod_revision if known is not None else 0
         swapped = await self._store.swap_key(
             self._key, msgspec.json.encode(fences), revision
         )
--- a/src/cowslipshift/peers/network.py
+++ b/src/cowslipshift/peers/network.py
@@ -24,6 +24,7 @@
 LINK_SILENT_AFTER_S = 3.0
 DIAL_INTERVAL_S = 0.3
 DIAL_TIMEOUT_S = 1.5
+CLOSE_TIMEOUT_S = 0.5
 YIELD_S = 1.0
 """Time that the host with the larger name leaves the other to dial."""
 
@@ -108,9 +109,11 @@
             sender.cancel()
             beats.cancel()
             await asyncio.gather(sender, beats, return_exceptions=True)
-            with contextlib.suppress(Exception):
-                async with asyncio.timeout(0.2):
-                    await self._socket.close()
+            await self.close()
+
+    async def close(self) -> None:
+        """Close the connection, whatever state it is in."""
+        await _close_quietly(self._socket)
 
     def abort(self) -> None:
         """Stop serving the link."""
@@ -308,7 +311,7 @@
         if known is not None:
             smaller = min(self.host, link.host)
             if known.dialled_by == smaller != link.dialled_by:
-                await _close_quietly(link._socket)
+                await link.close()
                 return
             known.abort()
         self._links[link.host] = link
@@ -330,5 +333,5 @@
     socket: aiohttp.ClientWebSocketResponse | web.WebSocketResponse,
 ) -> None:
     with contextlib.suppress(Exception):
-        async with asyncio.timeout(0.5):
+        async with asyncio.timeout(CLOSE_TIMEOUT_S):
             await socket.close()
