A host that rejoins forgets fences it was waiting for

Cause: 4,000 examples of the homes machine (three cuts, store up) found two hosts acting on one server: a host that was fenced while it waited for its own fence on another one to take effect kept that wait through its rejoining, and removed the other without its consent. Change: rejoining drops pending fences as it drops finished ones. The trace and a direct test are red before and green after.

--- a/src/cowslipshift/coordination/roster.py
+++ b/src/cowslipshift/coordination/roster.py
@@ -414,9 +414,9 @@
         for peer in self.peers.values():
             peer.counts_me = 0
             peer.acknowledged_s = None
-            if peer.standing in _REMOVED:
+            peer.fenced_s = None
+            if peer.standing is not Standing.LIVE:
                 peer.standing = Standing.UNKNOWN
-                peer.fenced_s = None
                 peer.refused_s = None
                 peer.heard_s = now
         self.epoch += 1
--- a/tests/coordination/test_takeover.py
+++ b/tests/coordination/test_takeover.py
@@ -103,3 +103,14 @@
     assert lender.lend("borrower", first, 0.5) is None
     total = borrower.measure_tokens(0.5) + lender.measure_tokens(0.5)
     assert total <= 10.0
+
+
+def test_host_that_rejoins_forgets_whom_it_was_about_to_remove() -> None:
+    view, table = build_pair()
+    run_until(view, table, 0.5, 8.0)
+    view.note_fence("b", 5, 8.0)
+    view.note_fence("a", 7, 9.0)
+    assert view.incarnation == 8
+    run_until(view, table, 9.5, 9.0 + rosters.FENCE_WAIT_S + 2.0)
+    assert view.list_members() == ["a", "b"]
+    assert not view.is_settled()
