Local fleets count as settled once no home waits

Cause: in one clean-clone run of 99 tests one failed: two hosts of a data centre came up more than two seconds apart on a busy machine, so that the first took the other for gone and its keys' homes were still moving when the test sent its first order; the refusal (key_home_moving, not run) was true. Change: the status says whether homes wait, and the harness waits for that condition before a test begins. No check is changed.

--- a/src/cowslipshift/daemon/operations.py
+++ b/src/cowslipshift/daemon/operations.py
@@ -74,6 +74,7 @@
             "incarnation": host.roster.incarnation,
             "leaving": host.roster.is_leaving,
             "settled": host.roster.is_settled(),
+            "homes_waiting": host.has_waiting_homes(),
             "suspended": host.roster.is_suspended,
             "watches_store": self._watcher.is_watcher(),
             "store_connected": self._watcher.is_connected,
--- a/src/cowslipshift/standins/localfleet.py
+++ b/src/cowslipshift/standins/localfleet.py
@@ -260,7 +260,8 @@
             except aiohttp.ClientError:
                 return False
             linked = len(status["linked"]) >= len(names) - 1
-            if not status["settled"] or not linked or not status["revision"]:
+            ready = status["settled"] and not status["homes_waiting"]
+            if not ready or not linked or not status["revision"]:
                 return False
         return True
 
