Measure how far an account's wants can be met in one place

The same three lines stood in the offer and in the recall of a loan. Behaviour is the same; the shares machine (300 examples), the coordination tests and the linters are green. The whole suite was not run.

--- a/src/cowslipshift/coordination/shares.py
+++ b/src/cowslipshift/coordination/shares.py
@@ -357,12 +357,9 @@
             now: Monotonic time in seconds.
         """
         loan = self._lent.get(who)
-        base = self._base or NOTHING
         if loan is None or loan.terms.rate >= want.rate:
             return []
-        own = self.demand.measure(now) * DEMAND_MARGIN
-        total = own + sum(rate for rate, _ in self._wants.values())
-        scale = min(1.0, base.rate / total) if total > 0.0 else 1.0
+        scale = self._measure_scale(now)
         recalls = []
         for other, lent in self._lent.items():
             due_s = self._recalled.get(other, float("-inf"))
@@ -404,8 +401,7 @@
     ) -> tuple[Terms, float]:
         base = self._base or NOTHING
         own = self.demand.measure(now) * DEMAND_MARGIN
-        total = own + sum(rate for rate, _ in self._wants.values())
-        scale = min(1.0, base.rate / total) if total > 0 else 1.0
+        scale = self._measure_scale(now)
         lent_rate = sum(loan.terms.rate for loan in self._lent.values())
         lent_burst = sum(loan.terms.burst for loan in self._lent.values())
         free_rate = max(0.0, base.rate - lent_rate - own * scale)
@@ -420,6 +416,13 @@
             return NOTHING, 0.0
         return Terms(rate, burst), min(tokens, burst)
 
+    def _measure_scale(self, now: float) -> float:
+        """Return the part of all wants, own ones included, that can be met."""
+        base = self._base or NOTHING
+        own = self.demand.measure(now) * DEMAND_MARGIN
+        total = own + sum(rate for rate, _ in self._wants.values())
+        return min(1.0, base.rate / total) if total > 0.0 else 1.0
+
     def _resize(self) -> None:
         """Derive the bucket's limits from the parts at hand."""
         base = self._base or NOTHING
