--- /dev/null
+++ b/src/cowslipshift/edge/__init__.py
@@ -0,0 +1,1 @@
+"""A host on a platform: callers, backend servers, peers, start and stop."""
--- /dev/null
+++ b/src/cowslipshift/edge/main.py
@@ -0,0 +1,70 @@
+"""Runs a host from the settings file of a platform."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import os
+import signal
+import sys
+
+import aiomisc
+import uvloop
+
+from cowslipshift.edge import service
+from cowslipshift.platform import exceptions
+from cowslipshift.platform import settings as platform_settings
+from cowslipshift.telemetry import logs
+
+USAGE_STATUS = 2
+SHUTDOWN_MARGIN_S = 5.0
+LEVEL_VARIABLE = "COWSLIPSHIFT_LOG_LEVEL"
+
+
+def main() -> None:
+    """Run until SIGTERM."""
+    try:
+        settings, bounds = platform_settings.read_settings(os.environ)
+    except exceptions.PlatformSettingsError as error:
+        print(f"cowslipshift: {error}", file=sys.stderr)
+        sys.exit(USAGE_STATUS)
+    level = os.environ.get(LEVEL_VARIABLE, "info")
+    handler = logs.install_handler(level, settings.node_name, sys.stdout)
+    with aiomisc.entrypoint(
+        service.EdgeService(settings=settings, bounds=bounds),
+        log_config=False,
+        pool_size=1,
+        loop_factory=uvloop.new_event_loop,
+        catch_signals=(signal.SIGTERM, signal.SIGINT),
+        shutdown_timeout=bounds.grace_s + SHUTDOWN_MARGIN_S,
+    ) as loop:
+        loop.run_until_complete(_wait_for_stop(loop, handler))
+
+
+async def _wait_for_stop(
+    loop: asyncio.AbstractEventLoop, handler: logs.LineHandler
+) -> None:
+    stopped = asyncio.Event()
+    reloads = logs.EventLog("service")
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopped.set)
+    loop.add_signal_handler(signal.SIGHUP, _reload, reloads)
+    while not stopped.is_set():
+        handler.flush()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(logs.FLUSH_INTERVAL_S):
+                await stopped.wait()
+
+
+def _reload(log: logs.EventLog) -> None:
+    """Check the settings file anew; addresses stay until a restart."""
+    try:
+        platform_settings.read_settings(os.environ)
+    except exceptions.PlatformSettingsError as error:
+        log.error("reload_failed", code=error.code, reason=error.message)
+        return
+    log.info("reloaded")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/cowslipshift/edge/messages.capnp
@@ -0,0 +1,42 @@
+@0xd3c1a5f09b7e4c21;
+# What hosts tell each other; field names mirror messages.py.
+
+struct Usage {
+  account @0 :Text;
+  admitted @1 :UInt32;
+  demand @2 :Float32;
+}
+
+struct RolloutCounts {
+  service @0 :Text;
+  order @1 :UInt64;
+  newAnswers @2 :UInt32;
+  newBad @3 :UInt32;
+  oldAnswers @4 :UInt32;
+  oldBad @5 :UInt32;
+  condemns @6 :Bool;
+}
+
+struct Word {
+  host @0 :Text;
+  incarnation @1 :UInt64;
+  revision @2 :UInt64;
+  isLeaving @3 :Bool;
+  hasStore @4 :Bool;
+  unstableMs @5 :UInt32;
+  usages @6 :List(Usage);
+  rollouts @7 :List(RolloutCounts);
+}
+
+struct StoreItem {
+  key @0 :Text;
+  value @1 :Data;
+  revision @2 :UInt64;
+  isDeleted @3 :Bool;
+}
+
+struct Changes {
+  revision @0 :UInt64;
+  isWhole @1 :Bool;
+  items @2 :List(StoreItem);
+}
--- /dev/null
+++ b/src/cowslipshift/edge/messages.py
@@ -0,0 +1,178 @@
+"""Messages between hosts on a platform and their Cap'n Proto codec."""
+
+from __future__ import annotations
+
+import pathlib
+from typing import Any
+
+import capnp
+import msgspec
+
+from cowslipshift.edge import exceptions
+from cowslipshift.steering import accounts
+from cowslipshift.steering import rollouts
+from cowslipshift.store import interface
+
+_schema: Any = capnp.load(
+    str(pathlib.Path(__file__).with_name("messages.capnp"))
+)
+
+
+class RolloutReport(msgspec.Struct, frozen=True):
+    """What one host counted of one roll-out.
+
+    Attributes:
+        condemns: Whether the host stopped using the new version.
+    """
+
+    service: str
+    order: int
+    counts: rollouts.Counts
+    condemns: bool
+
+
+class Word(msgspec.Struct, frozen=True):
+    """Told by each host to all others, again and again.
+
+    Attributes:
+        revision: Store revision that the host has followed up to.
+        has_store: Whether the store answered it lately.
+        unstable_s: How long entries that lapse are still to be kept.
+        usages: What accounts were admitted.
+        reports: What roll-outs looked like.
+    """
+
+    host: str
+    incarnation: int
+    revision: int
+    is_leaving: bool
+    has_store: bool
+    unstable_s: float
+    usages: list[accounts.Usage]
+    reports: list[RolloutReport]
+
+
+class Changes(msgspec.Struct, frozen=True):
+    """Items of the store that one host passes on to another.
+
+    Attributes:
+        is_whole: Whether these are all items, not only what changed.
+    """
+
+    revision: int
+    is_whole: bool
+    items: tuple[interface.Item, ...]
+
+
+def encode_word(word: Word) -> bytes:
+    """Write a word in packed form."""
+    message = _schema.Word.new_message(
+        host=word.host,
+        incarnation=word.incarnation,
+        revision=word.revision,
+        isLeaving=word.is_leaving,
+        hasStore=word.has_store,
+        unstableMs=int(max(0.0, word.unstable_s) * 1000),
+        usages=[
+            {"account": u.account, "admitted": u.admitted, "demand": u.demand}
+            for u in word.usages
+        ],
+        rollouts=[
+            {
+                "service": r.service,
+                "order": r.order,
+                "newAnswers": r.counts.new,
+                "newBad": r.counts.new_bad,
+                "oldAnswers": r.counts.old,
+                "oldBad": r.counts.old_bad,
+                "condemns": r.condemns,
+            }
+            for r in word.reports
+        ],
+    )
+    packed: bytes = message.to_bytes_packed()
+    return packed
+
+
+def decode_word(raw: bytes) -> Word:
+    """Read a word.
+
+    Raises:
+        PeerError: The bytes are none.
+    """
+    try:
+        read = _schema.Word.from_bytes_packed(raw)
+        return Word(
+            host=read.host,
+            incarnation=read.incarnation,
+            revision=read.revision,
+            is_leaving=read.isLeaving,
+            has_store=read.hasStore,
+            unstable_s=read.unstableMs / 1000.0,
+            usages=[
+                accounts.Usage(u.account, u.admitted, u.demand)
+                for u in read.usages
+            ],
+            reports=[
+                RolloutReport(
+                    r.service,
+                    r.order,
+                    rollouts.Counts(
+                        r.newAnswers, r.newBad, r.oldAnswers, r.oldBad
+                    ),
+                    r.condemns,
+                )
+                for r in read.rollouts
+            ],
+        )
+    except (capnp.KjException, ValueError, UnicodeDecodeError) as error:
+        raise exceptions.PeerError(
+            f"a host sent a malformed word: {error}"
+        ) from error
+
+
+def encode_changes(changes: Changes) -> bytes:
+    """Write items in packed form."""
+    message = _schema.Changes.new_message(
+        revision=changes.revision,
+        isWhole=changes.is_whole,
+        items=[
+            {
+                "key": item.key,
+                "value": item.value or b"",
+                "revision": item.revision,
+                "isDeleted": item.value is None,
+            }
+            for item in changes.items
+        ],
+    )
+    packed: bytes = message.to_bytes_packed()
+    return packed
+
+
+def decode_changes(raw: bytes) -> Changes:
+    """Read items.
+
+    Raises:
+        PeerError: The bytes are none.
+    """
+    try:
+        read = _schema.Changes.from_bytes_packed(
+            raw, traversal_limit_in_words=2**26
+        )
+        return Changes(
+            read.revision,
+            read.isWhole,
+            tuple(
+                interface.Item(
+                    item.key,
+                    None if item.isDeleted else bytes(item.value),
+                    item.revision,
+                )
+                for item in read.items
+            ),
+        )
+    except (capnp.KjException, ValueError, UnicodeDecodeError) as error:
+        raise exceptions.PeerError(
+            f"a host sent malformed changes: {error}"
+        ) from error
--- /dev/null
+++ b/src/cowslipshift/edge/metrics.py
@@ -0,0 +1,80 @@
+"""Prometheus metrics of a host on a platform."""
+
+from __future__ import annotations
+
+import collections
+
+import aioprometheus
+
+BUCKETS_S = (0.05, 0.1, 0.2, 0.4, 0.6, 1.0, 1.5, 2.5, 4.0, 8.0)
+
+
+class EdgeMetrics:
+    """Counters, added up when they are rendered, and latencies."""
+
+    def __init__(self, host: str) -> None:
+        self._registry = aioprometheus.Registry()
+        self._labels = {"host": host}
+        self._pending: collections.Counter[
+            tuple[str, tuple[tuple[str, str], ...]]
+        ] = collections.Counter()
+        self._counters = {
+            name: aioprometheus.Counter(
+                name, doc, const_labels=self._labels, registry=self._registry
+            )
+            for name, doc in (
+                ("cowslipshift_answers_total", "Answers of backend servers."),
+                ("cowslipshift_refusals_total", "Answers of the system."),
+                ("cowslipshift_failures_total", "Failed attempts."),
+                ("cowslipshift_lookups_total", "Look-ups."),
+                ("cowslipshift_store_calls_total", "Calls of the store."),
+                ("cowslipshift_peer_bytes_total", "Bytes between hosts."),
+            )
+        }
+        self._latency = aioprometheus.Histogram(
+            "cowslipshift_request_seconds",
+            "Time from request to the answer of a backend server.",
+            const_labels=self._labels,
+            buckets=list(BUCKETS_S),
+            registry=self._registry,
+        )
+
+    def count_answer(self, route: str, status: int, took_s: float) -> None:
+        """Count an answer that a backend server made."""
+        self._add(
+            "cowslipshift_answers_total", route=route, status=str(status)
+        )
+        self._latency.observe({"route": route}, took_s)
+
+    def count_refusal(self, code: str, status: int) -> None:
+        """Count an answer of the system's own."""
+        self._add("cowslipshift_refusals_total", code=code, status=str(status))
+
+    def count_failure(self, code: str) -> None:
+        """Count an attempt that brought no answer."""
+        self._add("cowslipshift_failures_total", code=code)
+
+    def count_lookup(self) -> None:
+        """Count a look-up."""
+        self._add("cowslipshift_lookups_total")
+
+    def count_store_call(self, kind: str, outcome: str) -> None:
+        """Count a call of the store."""
+        self._add("cowslipshift_store_calls_total", kind=kind, outcome=outcome)
+
+    def count_peer_bytes(self, direction: str, size: int) -> None:
+        """Count bytes between hosts."""
+        self._add("cowslipshift_peer_bytes_total", size, direction=direction)
+
+    def render(self) -> tuple[bytes, dict[str, str]]:
+        """Return the exposition text and its HTTP headers."""
+        pending, self._pending = self._pending, collections.Counter()
+        for (name, labels), amount in pending.items():
+            self._counters[name].add(dict(labels), amount)
+        content, headers = aioprometheus.render(
+            self._registry, ["text/plain; version=0.0.4"]
+        )
+        return content, headers
+
+    def _add(self, counter: str, amount: int = 1, **labels: str) -> None:
+        self._pending[counter, tuple(labels.items())] += amount
--- /dev/null
+++ b/src/cowslipshift/edge/service.py
@@ -0,0 +1,479 @@
+"""A host on a platform: assembly, tasks, start and graceful stop."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import time
+from typing import Any
+from typing import TYPE_CHECKING
+
+import aiohttp
+from aiohttp import web
+import aiomisc
+import msgspec
+
+from cowslipshift import clock as clocks
+from cowslipshift import exceptions as base_exceptions
+from cowslipshift.edge import frontdoor
+from cowslipshift.edge import gossip as gossips
+from cowslipshift.edge import messages
+from cowslipshift.edge import metrics as metric
+from cowslipshift.edge import upstream
+from cowslipshift.edge import watcher as watchers
+from cowslipshift.platform import codec
+from cowslipshift.platform import ingress
+from cowslipshift.platform import names
+from cowslipshift.platform import settings as platform_settings
+from cowslipshift.platform import store as stores
+from cowslipshift.platform import translation
+from cowslipshift.steering import accounts
+from cowslipshift.steering import changes
+from cowslipshift.steering import desk as desks
+from cowslipshift.steering import model
+from cowslipshift.steering import presence as presences
+from cowslipshift.steering import rollouts
+from cowslipshift.store import exceptions as store_exceptions
+from cowslipshift.telemetry import logs
+
+if TYPE_CHECKING:
+    from collections.abc import Coroutine
+
+    from cowslipshift.store import interface
+
+LEASE_S = 6.0
+"""How long a host that died stays announced at most."""
+
+KEEP_INTERVAL_S = 2.0
+TICK_S = 0.1
+PAUSE_S = 1.0
+"""A tick that is this late, or a clock that stood still for as long, means
+that the process was stopped meanwhile."""
+
+LOOKUP_LIFETIME_S = 1.0
+"""Some callers keep an answer three times as long, which fits a stop."""
+
+TAKE_NEW_FOR_S = 3.6
+"""How long a leaving host still takes requests: some callers keep look-ups
+for three lifetimes."""
+
+STOP_MARGIN_S = 0.5
+POLL_S = 0.05
+IDLE_CONNECTION_S = 75.0
+"""Longer than callers keep connections idle, so that none is closed under
+a request."""
+
+BACKLOG = 512
+
+
+_EVENTS: dict[type[changes.Change], str] = {
+    changes.PlanChange: "plan_changed",
+    changes.BackendChange: "backend_changed",
+    changes.OrderChange: "rollout_ordered",
+    changes.StageChange: "rollout_stage",
+    changes.EvacuationChange: "evacuation_changed",
+    changes.MemberChange: "member_changed",
+}
+
+
+class EdgeService(aiomisc.Service):
+    """One host as a service of the event loop."""
+
+    settings: platform_settings.HostSettings
+    bounds: platform_settings.Bounds
+
+    async def start(self) -> Any:
+        """Assemble the host, read the store, then listen."""
+        self._log = logs.EventLog("service")
+        self._clock = clocks.SystemClock()
+        self._tasks: list[asyncio.Task[None]] = []
+        self._runners: list[web.BaseRunner] = []
+        self._is_leaving = False
+        self._lease = 0
+        self._told_s = 0.0
+        self._unstable_until_s = 0.0
+        self._assemble()
+        await self._open_gossip()
+        await self._listen_internal()
+        await self._listen_callers()
+        self._start(self._watcher.run())
+        self._start(self._run_announcing())
+        self._start(self._run_ticks())
+        self._log.info(
+            "started",
+            front=self.settings.listen.front,
+            incarnation=self._own.incarnation,
+            data_centre=self._own.data_centre,
+        )
+
+    async def stop(self, exception: Exception | None = None) -> Any:
+        """Leave gracefully: tell, take what still comes, answer, close."""
+        loop = asyncio.get_running_loop()
+        until_s = loop.time() + self.bounds.grace_s - STOP_MARGIN_S
+        self._log.info("leaving", running=self._door.running)
+        self._is_leaving = self._presence.is_leaving = True
+        self._door.is_closing = True
+        self._tell_peers()
+        await asyncio.sleep(min(TAKE_NEW_FOR_S, self.bounds.grace_s / 2))
+        for site in list(self._front_runner.sites):
+            await site.stop()
+        while self._door.running and loop.time() < until_s:
+            await asyncio.sleep(POLL_S)
+        self._tell_peers()
+        await self._close()
+        self._log.info("stopped", unfinished=self._door.running)
+
+    # Assembly
+
+    def _assemble(self) -> None:
+        settings = self.settings
+        internal = settings.internal_ports[0] + 1
+        self._own = model.Member(
+            name=settings.node_name,
+            data_centre=settings.zone,
+            region=settings.region,
+            front=settings.listen.front,
+            internal=f"{settings.ip}:{internal}",
+            incarnation=int(self._clock.wall() * 1000),
+        )
+        self._metrics = metric.EdgeMetrics(settings.node_name)
+        self._presence = presences.Presence(self._own)
+        self._desk = desks.Desk(
+            self._presence,
+            settings.zones,
+            self.bounds.retry_budget,
+            self.bounds.budget_slack,
+            self.bounds.budget_window_s,
+            accounts.AccountDesk(
+                accounts.Terms(
+                    self.bounds.quota_window_s,
+                    self.bounds.quota_overshoot,
+                    self.bounds.quota_slack,
+                ),
+                not settings.bootstrap,
+            ),
+        )
+        self._session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0, keepalive_timeout=30.0),
+            cookie_jar=aiohttp.DummyCookieJar(),
+        )
+        self._store = stores.PlatformStore(
+            settings.platform.address,
+            self._session,
+            self._metrics.count_store_call,
+        )
+        self._client = upstream.UpstreamClient()
+        self._door = frontdoor.FrontDoor(
+            self._clock,
+            self._desk,
+            self._client,
+            self._metrics,
+            self._tell_peers,
+        )
+        self._watcher = watchers.Watcher(
+            self._clock,
+            self._store,
+            self._presence,
+            self._session,
+            self._apply_item,
+            self._note_unstable,
+            self._tell_peers,
+        )
+        self._gossip = gossips.Gossip(
+            self._take_word, self._metrics.count_peer_bytes
+        )
+
+    def _start(self, job: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(job)
+        task.add_done_callback(self._check_task)
+        self._tasks.append(task)
+
+    def _check_task(self, task: asyncio.Task[None]) -> None:
+        """End the process when a task dies: a host must not run in part."""
+        if task.cancelled() or task.exception() is None:
+            return
+        self._log.error("task_failed", reason=repr(task.exception()))
+        os._exit(1)
+
+    async def _open_gossip(self) -> None:
+        loop = asyncio.get_running_loop()
+        port = self.settings.internal_ports[0]
+        await loop.create_datagram_endpoint(
+            lambda: self._gossip, local_addr=(self.settings.ip, port)
+        )
+
+    async def _listen_internal(self) -> None:
+        application = web.Application()
+        application.router.add_get("/changes", self._serve_changes)
+        application.router.add_get("/metrics", self._serve_metrics)
+        await self._listen(application, self._own.internal)
+
+    async def _listen_callers(self) -> None:
+        listen = self.settings.listen
+        lookups = web.Application()
+        lookups.router.add_get(names.RESOLVE_PATH, self._serve_lookup)
+        lookups.router.add_get(names.READY_PATH, self._serve_ready)
+        for address in {listen.ready, listen.directory}:
+            await self._listen(lookups, address)
+        server = web.Server(
+            self._door.handle,
+            handler_cancellation=True,
+            keepalive_timeout=IDLE_CONNECTION_S,
+            access_log=None,
+            max_line_size=frontdoor.MAX_URL_BYTES,
+            max_field_size=frontdoor.MAX_URL_BYTES,
+        )
+        self._front_runner = web.ServerRunner(server)
+        await self._run_site(self._front_runner, listen.front)
+
+    async def _listen(
+        self, application: web.Application, address: str
+    ) -> None:
+        runner = web.AppRunner(application, access_log=None)
+        await self._run_site(runner, address)
+
+    async def _run_site(self, runner: web.BaseRunner, address: str) -> None:
+        await runner.setup()
+        ip, _, port = address.rpartition(":")
+        await web.TCPSite(runner, ip, int(port), backlog=BACKLOG).start()
+        self._runners.append(runner)
+
+    async def _close(self) -> None:
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        if self._lease:
+            try:
+                await self._store.end_lease(self._lease)
+            except store_exceptions.StoreError as error:
+                self._log.warn("lease_not_ended", reason=error)
+        for runner in self._runners:
+            await frontdoor.close_quietly(runner)
+        self._gossip.close()
+        await self._client.close()
+        await self._session.close()
+
+    # What callers and hosts ask
+
+    async def _serve_ready(self, request: web.Request) -> web.Response:
+        is_ready = self._desk.plan is not None and not self._is_leaving
+        return web.Response(status=200 if is_ready else 503)
+
+    async def _serve_lookup(self, request: web.Request) -> web.Response:
+        self._metrics.count_lookup()
+        region = request.query.get("region", self._own.region)
+        usable = self._presence.list_usable(self._clock.now())
+        fronts = presences.choose_fronts(usable, region, self._own)
+        return web.Response(
+            body=ingress.encode_fronts(fronts, LOOKUP_LIFETIME_S),
+            content_type="application/json",
+        )
+
+    async def _serve_changes(self, request: web.Request) -> web.Response:
+        try:
+            after = int(request.query.get("after", "0"))
+        except ValueError:
+            return web.Response(status=400)
+        found = self._watcher.view.list_changes(after)
+        return web.Response(body=messages.encode_changes(found))
+
+    async def _serve_metrics(self, request: web.Request) -> web.Response:
+        content, headers = self._metrics.render()
+        return web.Response(body=content, headers=headers)
+
+    # What the store and other hosts tell
+
+    def _apply_item(self, item: interface.Item) -> None:
+        now = self._clock.now()
+        try:
+            change = translation.translate_item(item)
+        except base_exceptions.CowslipshiftError as error:
+            self._log.warn(
+                "entry_ignored",
+                key=item.key,
+                revision=item.revision,
+                code=error.code,
+                reason=error.message,
+            )
+            return
+        if change is not None and self._desk.apply(change, now):
+            self._log_change(change, item.revision)
+
+    def _log_change(self, change: changes.Change, revision: int) -> None:
+        fields: dict[str, object] = {"revision": revision}
+        if isinstance(change, changes.PlanChange):
+            fields["version"] = change.plan.version
+            fields["routes"] = len(change.plan.routes)
+        elif isinstance(change, changes.BackendChange):
+            fields["backend"] = change.id
+            if change.backend is not None:
+                entry = change.backend
+                fields["service"] = entry.service
+                fields["version"] = entry.version
+                fields["data_centre"] = entry.data_centre
+                fields["draining"] = entry.is_draining
+                fields["cold_s"] = entry.cold_s
+            else:
+                fields["gone"] = True
+        elif isinstance(change, changes.EvacuationChange):
+            fields["data_centre"] = change.data_centre
+            fields["active"] = change.is_active
+        elif isinstance(change, changes.MemberChange):
+            fields["member"] = change.name
+            fields["gone"] = change.member is None
+        elif isinstance(change, changes.OrderChange):
+            fields["service"] = change.service
+            if change.order is not None:
+                fields["target"] = change.order.version
+                fields["ramp_s"] = change.order.ramp_s
+        else:
+            fields["service"] = change.service
+            if change.stage is not None:
+                fields["state"] = change.stage.state
+                fields["step"] = change.stage.step
+                fields["reason"] = change.stage.reason
+        self._log.info(_EVENTS[type(change)], **fields)
+
+    def _note_unstable(self) -> None:
+        now = self._clock.now()
+        self._unstable_until_s = now + desks.UNSTABLE_FOR_S
+        self._desk.note_unstable(now)
+
+    def _take_word(self, word: messages.Word) -> None:
+        now = self._clock.now()
+        self._presence.note_heard(
+            word.host, word.incarnation, word.is_leaving, now
+        )
+        process = f"{word.host}@{word.incarnation}"
+        self._desk.accounts.note_reports(process, word.usages, now)
+        for report in word.reports:
+            rollout = self._desk.rollouts.get(report.service)
+            if rollout is not None:
+                rollout.note_peer(
+                    process, report.order, report.counts, report.condemns
+                )
+        self._watcher.note_word(word)
+
+    def _tell_peers(self) -> None:
+        now = self._clock.now()
+        self._told_s = now
+        reports = [
+            messages.RolloutReport(
+                rollout.service,
+                rollout.order.order,
+                rollout.counts,
+                rollout.condemns,
+            )
+            for rollout in self._desk.rollouts.values()
+            if rollout.order is not None
+        ]
+        word = messages.Word(
+            host=self._own.name,
+            incarnation=self._own.incarnation,
+            revision=self._watcher.view.revision,
+            is_leaving=self._is_leaving,
+            has_store=self._watcher.has_store,
+            unstable_s=max(0.0, self._unstable_until_s - now),
+            usages=self._desk.accounts.list_reports(
+                now, self._presence.count_hosts()
+            ),
+            reports=reports,
+        )
+        port = self.settings.internal_ports[0]
+        self._gossip.send(
+            word,
+            [
+                f"{member.internal.rpartition(':')[0]}:{port}"
+                for member in self._presence.list_peers()
+            ],
+        )
+
+    # Tasks
+
+    async def _run_announcing(self) -> None:
+        while True:
+            try:
+                await self._announce()
+                self._watcher.note_store(True)
+            except store_exceptions.StoreError as error:
+                self._watcher.note_store(False, error)
+            await asyncio.sleep(KEEP_INTERVAL_S)
+
+    async def _announce(self) -> None:
+        if self._lease and await self._store.keep_lease(self._lease):
+            return
+        self._lease = await self._store.grant_lease(LEASE_S)
+        await self._store.swap_items(
+            {},
+            {
+                names.MEMBER_PREFIX + self._own.name: msgspec.json.encode(
+                    self._own
+                )
+            },
+            self._lease,
+        )
+
+    async def _run_ticks(self) -> None:
+        last_s = self._clock.now()
+        stood_s = _measure_stood_still()
+        while True:
+            await asyncio.sleep(TICK_S)
+            now = self._clock.now()
+            passed_s, last_s = now - last_s, now
+            was_s, stood_s = stood_s, _measure_stood_still()
+            if passed_s > PAUSE_S or stood_s - was_s > PAUSE_S:
+                self._log.warn(
+                    "paused", late_s=passed_s, stood_s=stood_s - was_s
+                )
+                self._watcher.request_reread()
+            self._desk.refill_budgets(passed_s, now)
+            for identity in self._desk.drop_lapsed(now):
+                self._log.info("lapsed_dropped", backend=identity)
+            if now - self._told_s >= self._presence.get_interval():
+                self._tell_peers()
+            await self._judge_rollouts(now)
+
+    async def _judge_rollouts(self, now: float) -> None:
+        hosts = [member.name for member in self._presence.list_usable(now)]
+        for rollout in list(self._desk.rollouts.values()):
+            stage = rollout.judge(
+                now, self._clock.wall(), self._own.name, hosts
+            )
+            if stage is not None:
+                await self._write_stage(rollout, stage)
+
+    async def _write_stage(
+        self, rollout: rollouts.Rollout, stage: rollouts.Stage
+    ) -> None:
+        key = names.STAGE_PREFIX + rollout.service
+        state = "running" if stage.state == rollouts.WATCHING else stage.state
+        try:
+            is_written = await self._store.swap_items(
+                {key: rollout.stage_revision},
+                {
+                    key: rollouts.encode_stage(stage),
+                    names.STATUS_PREFIX + rollout.service: codec.encode_status(
+                        stage.version, state
+                    ),
+                },
+            )
+        except store_exceptions.StoreError as error:
+            self._watcher.note_store(False, error)
+            self._watcher.request_reread()
+            return
+        self._log.info(
+            "stage_written" if is_written else "stage_lost",
+            service=rollout.service,
+            state=state,
+            step=stage.step,
+            reason=stage.reason,
+        )
+        # The change comes back through the view; until then nothing is due.
+        rollout.defer(now=self._clock.now())
+        if not is_written:
+            self._watcher.request_reread()
+
+
+def _measure_stood_still() -> float:
+    """Return seconds in which the machine was suspended since its start."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME) - time.monotonic()
--- /dev/null
+++ b/src/cowslipshift/edge/watcher.py
@@ -0,0 +1,196 @@
+"""Follows the store, directly or through hosts that follow it.
+
+In each region one host, by rank, watches the store; the others ask a host
+that tells of a newer revision. A host that hears of none, or gets no answer,
+reads the store itself.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import aiohttp
+
+from cowslipshift.coordination import hashing
+from cowslipshift.edge import exceptions
+from cowslipshift.edge import messages
+from cowslipshift.edge import view as views
+from cowslipshift.store import exceptions as store_exceptions
+from cowslipshift.store import interface
+from cowslipshift.telemetry import logs
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from cowslipshift import clock as clocks
+    from cowslipshift.steering import presence as presences
+
+WATCH_WAIT_S = 2.0
+"""Bounds how long a watch that went silent for good goes unnoticed."""
+
+BATCH_S = 0.15
+"""Pause between two watches, so that changes in a row cost one call."""
+
+IDLE_S = 0.2
+RETRY_S = 0.3
+PEER_TIMEOUT_S = 0.6
+SUSPICIOUS_S = 3.0
+"""How long a host that could not reach the store is taken to be without."""
+
+ALL_KEYS = ""
+
+
+class Watcher:
+    """Keeps the view up to date.
+
+    Args:
+        clock: Source of the present time.
+        store: The platform's store.
+        presence: Which hosts are alive.
+        session: HTTP session to ask other hosts with.
+        on_change: Told of each item that changed.
+        on_unstable: Told that the store is away.
+        on_revision: Told that the view reached another revision.
+    """
+
+    def __init__(
+        self,
+        clock: clocks.Clock,
+        store: interface.RevisionedStore,
+        presence: presences.Presence,
+        session: aiohttp.ClientSession,
+        on_change: Callable[[interface.Item], None],
+        on_unstable: Callable[[], None],
+        on_revision: Callable[[], None],
+    ) -> None:
+        self.view = views.View()
+        self.has_store = False
+        self._clock = clock
+        self._store = store
+        self._presence = presence
+        self._session = session
+        self._on_change = on_change
+        self._on_unstable = on_unstable
+        self._on_revision = on_revision
+        self._needs_whole = True
+        self._is_pulling = False
+        self._peer_stores: dict[str, bool] = {}
+        self._log = logs.EventLog("watcher")
+
+    async def run(self) -> None:
+        """Follow the store until cancelled."""
+        while True:
+            if not self._needs_whole and not self._is_watcher():
+                await asyncio.sleep(IDLE_S)
+                continue
+            try:
+                await self._follow_once()
+            except store_exceptions.HistoryGoneError:
+                self._log.info("history_gone", revision=self.view.revision)
+                self._needs_whole = True
+            except store_exceptions.StoreError as error:
+                self._lose_store(error)
+                await asyncio.sleep(RETRY_S)
+
+    def request_reread(self) -> None:
+        """Read everything anew, for what is known may be old."""
+        self._needs_whole = True
+
+    def note_word(self, word: messages.Word) -> None:
+        """Learn from another host how far it is."""
+        self._peer_stores[word.host] = word.has_store
+        if word.revision > self.view.revision and not self._is_pulling:
+            self._is_pulling = True
+            asyncio.ensure_future(self._pull(word.host))
+
+    def note_store(self, has_answered: bool, reason: object = "") -> None:
+        """Learn from another call whether the store answers."""
+        if has_answered:
+            self._regain_store()
+        else:
+            self._lose_store(reason)
+
+    def _is_watcher(self) -> bool:
+        now = self._clock.now()
+        own = self._presence.own
+        names = [own.name]
+        for member in self._presence.list_usable(now):
+            has_store = self._peer_stores.get(member.name, False)
+            if member.region == own.region and has_store:
+                names.append(member.name)
+        ranked = hashing.rank_members(f"watch|{own.region}", set(names))
+        return ranked[0] == own.name
+
+    async def _follow_once(self) -> None:
+        if self._needs_whole:
+            whole = await self._store.read_prefix(ALL_KEYS)
+            self._needs_whole = False
+            self._regain_store()
+            self._tell(self.view.apply_whole(whole.items, whole.revision))
+            self._log.info("view_read", revision=whole.revision)
+            return
+        found = await self._store.watch_prefix(
+            ALL_KEYS, self.view.revision, WATCH_WAIT_S
+        )
+        self._regain_store()
+        self._tell(self.view.apply_changes(found.items, found.revision))
+        if found.items:
+            await asyncio.sleep(BATCH_S)
+
+    async def _pull(self, host: str) -> None:
+        member = next(
+            (m for m in self._presence.list_peers() if m.name == host), None
+        )
+        try:
+            if member is not None:
+                found = await self._ask(member.internal)
+                self._take(found, host)
+        except exceptions.PeerError as error:
+            self._log.warn("peer_silent", peer=host, reason=error.message)
+            self._needs_whole = True
+        finally:
+            self._is_pulling = False
+
+    def _take(self, found: messages.Changes, host: str) -> None:
+        if found.revision <= self.view.revision:
+            return
+        if found.is_whole:
+            news = self.view.apply_whole(found.items, found.revision)
+        else:
+            news = self.view.apply_changes(found.items, found.revision)
+        self._log.debug("pulled", peer=host, revision=found.revision)
+        self._tell(news)
+
+    async def _ask(self, address: str) -> messages.Changes:
+        try:
+            async with self._session.get(
+                f"http://{address}/changes",
+                params={"after": str(self.view.revision)},
+                timeout=aiohttp.ClientTimeout(total=PEER_TIMEOUT_S),
+            ) as response:
+                raw = await response.read()
+                if response.status != 200:
+                    raise exceptions.PeerError(
+                        f"a host answered {response.status}"
+                    )
+        except (TimeoutError, aiohttp.ClientError, OSError) as error:
+            raise exceptions.PeerError(repr(error)) from error
+        return messages.decode_changes(raw)
+
+    def _tell(self, news: list[interface.Item]) -> None:
+        for item in news:
+            self._on_change(item)
+        if news:
+            self._on_revision()
+
+    def _lose_store(self, reason: object) -> None:
+        self._on_unstable()
+        if self.has_store:
+            self._log.warn("store_lost", reason=reason)
+        self.has_store = False
+
+    def _regain_store(self) -> None:
+        if not self.has_store:
+            self._log.info("store_reached", revision=self.view.revision)
+        self.has_store = True
--- /dev/null
+++ b/src/cowslipshift/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's names, formats and calls; nothing here decides."""
--- /dev/null
+++ b/src/cowslipshift/platform/codec.py
@@ -0,0 +1,229 @@
+"""Translates what the platform's store holds into the product's types.
+
+Everything is decoded strictly, one entry at a time: an entry of another
+writer that is not as it should be raises, and leaves the others alone.
+"""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+
+from cowslipshift.platform import exceptions
+from cowslipshift.steering import model
+
+MS_PER_S = 1000.0
+STATES = ("running", "completed", "rolled_back")
+
+
+class _Part(msgspec.Struct):
+    service: str
+    weight: float
+
+
+class _Path(msgspec.Struct):
+    name: str
+    prefix: str
+    type: str
+    timeout_ms: float
+    target_latency_ms: float
+    attempts: int
+    service: str = ""
+    traffic_split: list[_Part] = []
+    priority: int = 0
+    public: bool = False
+    session_affinity: bool = False
+    allowed_regions: list[str] = []
+
+
+class _VirtualHost(msgspec.Struct):
+    hostname: str
+    paths: list[_Path]
+
+
+class _Service(msgspec.Struct):
+    name: str
+    max_connections: int = 0
+    cold_start_s: float = 0.0
+    cold_per_s: float = 0.0
+
+
+class _Tenant(msgspec.Struct):
+    name: str
+    api_keys: list[str] = []
+    priority: int = 0
+    rate_per_s: float = 0.0
+    burst: float = 0.0
+    allowed_regions: list[str] = []
+
+
+class _Limits(msgspec.Struct):
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 64 * 1024 * 1024
+    header_timeout_ms: float = 3000
+    idle_timeout_ms: float = 15000
+
+
+class _Config(msgspec.Struct):
+    version: str
+    virtual_hosts: list[_VirtualHost]
+    services: list[_Service]
+    tenants: list[_Tenant] = []
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+
+
+class _Info(msgspec.Struct):
+    service: str
+    zone: str
+    version: str
+    concurrency: int
+
+
+class _Status(msgspec.Struct):
+    state: str
+    seq: int
+    cold_remaining_ms: float = 0
+
+
+class _Server(msgspec.Struct):
+    address: str
+    info: _Info
+    status: _Status
+    born: int = 0
+
+
+class _Rollout(msgspec.Struct):
+    service: str
+    target_version: str
+    ramp_s: float
+
+
+def decode_plan(raw: bytes) -> model.Plan:
+    """Read a configuration.
+
+    Raises:
+        MalformedEntryError: It is none.
+    """
+    config = _decode(raw, _Config, "configuration")
+    routes = tuple(
+        _build_route(host.hostname, path)
+        for host in config.virtual_hosts
+        for path in host.paths
+    )
+    accounts = {
+        t.name: model.Account(
+            t.name,
+            t.priority,
+            t.rate_per_s,
+            t.burst,
+            tuple(t.allowed_regions),
+        )
+        for t in config.tenants
+    }
+    limits = config.limits
+    try:
+        version = int(config.version, 16)
+    except ValueError as error:
+        raise exceptions.MalformedEntryError(
+            f"'{config.version}' is no version of a configuration"
+        ) from error
+    return model.Plan(
+        version=version,
+        routes=routes,
+        services={
+            s.name: model.Service(
+                s.name, s.max_connections, s.cold_start_s, s.cold_per_s
+            )
+            for s in config.services
+        },
+        accounts=accounts,
+        accounts_by_key={
+            k: t.name for t in config.tenants for k in t.api_keys
+        },
+        limits=model.Limits(
+            limits.max_header_bytes,
+            limits.max_body_bytes,
+            limits.header_timeout_ms / MS_PER_S,
+            limits.idle_timeout_ms / MS_PER_S,
+        ),
+    )
+
+
+def decode_backend(identity: str, raw: bytes) -> model.Backend:
+    """Read the entry of a backend server.
+
+    Raises:
+        MalformedEntryError: It names no server to use.
+    """
+    server = _decode(raw, _Server, f"entry of server '{identity}'")
+    if server.status.state not in ("ready", "draining"):
+        raise exceptions.MalformedEntryError(
+            f"server '{identity}' is in an unknown state"
+        )
+    host, _, port = server.address.rpartition(":")
+    if not host or not port.isdecimal() or server.info.concurrency < 1:
+        raise exceptions.MalformedEntryError(
+            f"server '{identity}' has no usable address or slots"
+        )
+    return model.Backend(
+        id=identity,
+        service=server.info.service,
+        address=server.address,
+        data_centre=server.info.zone,
+        version=server.info.version,
+        slots=server.info.concurrency,
+        is_draining=server.status.state == "draining",
+        cold_s=server.status.cold_remaining_ms / MS_PER_S,
+        started_ms=server.born,
+    )
+
+
+def decode_rollout(raw: bytes, revision: int) -> model.RolloutOrder:
+    """Read an order to bring in a new version.
+
+    Raises:
+        MalformedEntryError: It is none.
+    """
+    order = _decode(raw, _Rollout, "order of a roll-out")
+    return model.RolloutOrder(
+        order.service, order.target_version, order.ramp_s, revision
+    )
+
+
+def encode_status(version: str, state: str) -> bytes:
+    """Write the status of a roll-out; the state is one of `STATES`."""
+    if state not in STATES:
+        raise ValueError(f"no state of a roll-out: {state}")
+    return msgspec.json.encode({"state": state, "target_version": version})
+
+
+def _build_route(hostname: str, path: _Path) -> model.Route:
+    if path.type not in ("idempotent", "non_idempotent"):
+        raise exceptions.MalformedEntryError(
+            f"route '{path.name}' has the unknown type '{path.type}'"
+        )
+    parts = tuple(model.Part(p.service, p.weight) for p in path.traffic_split)
+    return model.Route(
+        name=path.name,
+        hostname=hostname,
+        prefix=path.prefix,
+        parts=parts or (model.Part(path.service, 1.0),),
+        is_idempotent=path.type == "idempotent",
+        timeout_s=path.timeout_ms / MS_PER_S,
+        target_s=path.target_latency_ms / MS_PER_S,
+        attempts=path.attempts,
+        rank=path.priority,
+        is_public=path.public,
+        has_affinity=path.session_affinity,
+        regions=tuple(path.allowed_regions),
+    )
+
+
+def _decode(raw: bytes, kind: type[Any], what: str) -> Any:
+    try:
+        return msgspec.json.decode(raw, type=kind)
+    except (msgspec.DecodeError, ValueError) as error:
+        raise exceptions.MalformedEntryError(
+            f"the {what} is malformed: {error}"
+        ) from error
--- /dev/null
+++ b/src/cowslipshift/platform/settings.py
@@ -0,0 +1,104 @@
+"""The settings file that the platform writes for each process."""
+
+from __future__ import annotations
+
+import pathlib
+import tomllib
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from cowslipshift.platform import exceptions
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+PATH_VARIABLE = "COWSLIPSHIFT_SETTINGS"
+
+
+class Listen(msgspec.Struct, frozen=True):
+    """Addresses, ``ip:port``, of what a process serves."""
+
+    front: str
+    ready: str
+    directory: str
+
+
+class StoreAddress(msgspec.Struct, frozen=True):
+    """Where the store is and what it takes."""
+
+    address: str
+    min_ttl_ms: int = 1000
+
+
+class Bounds(msgspec.Struct, frozen=True):
+    """Figures that the operators hold the system to."""
+
+    drain_ms: int = 2000
+    grace_s: float = 6.0
+    config_apply_ms: int = 2000
+    retry_budget: float = 0.2
+    budget_window_s: float = 10.0
+    budget_slack: float = 60.0
+    quota_window_s: float = 5.0
+    quota_overshoot: float = 0.1
+    quota_slack: float = 20.0
+    canary_share: float = 0.1
+    canary_slack: float = 50.0
+    rollback_ms: int = 5000
+    cold_overshoot: float = 1.5
+    cold_slack: float = 5.0
+    contact_ms: int = 3000
+    ttl_max_s: float = 5.0
+
+
+class HostSettings(msgspec.Struct, frozen=True):
+    """The settings of one process; unknown fields are ignored."""
+
+    node_name: str
+    ip: str
+    zone: str
+    region: str
+    internal_ports: tuple[int, int]
+    zones: dict[str, str]
+    listen: Listen
+    platform: StoreAddress
+    heartbeat_ms: int = 1500
+    bootstrap: bool = False
+    bounds: tuple[str, ...] = ()
+
+
+def read_settings(
+    environment: Mapping[str, str],
+) -> tuple[HostSettings, Bounds]:
+    """Read the file that the environment names.
+
+    Raises:
+        PlatformSettingsError: It is missing, cut short or malformed.
+    """
+    path = environment.get(PATH_VARIABLE, "")
+    try:
+        text = pathlib.Path(path).read_text()
+    except (OSError, UnicodeDecodeError) as error:
+        raise exceptions.PlatformSettingsError(
+            f"cannot read the file that {PATH_VARIABLE} names: {error}"
+        ) from error
+    return parse_settings(text)
+
+
+def parse_settings(text: str) -> tuple[HostSettings, Bounds]:
+    """Parse the text of a settings file.
+
+    Raises:
+        PlatformSettingsError: It is cut short or malformed.
+    """
+    try:
+        fields = tomllib.loads(text)
+        settings = msgspec.convert(fields, HostSettings)
+        pairs = [bound.partition("=")[::2] for bound in settings.bounds]
+        bounds = msgspec.convert(dict(pairs), Bounds, strict=False)
+    except (tomllib.TOMLDecodeError, msgspec.ValidationError) as error:
+        raise exceptions.PlatformSettingsError(
+            f"the settings file is malformed: {error}"
+        ) from error
+    return settings, bounds
--- /dev/null
+++ b/src/cowslipshift/platform/store.py
@@ -0,0 +1,211 @@
+"""Client of the platform's store."""
+
+from __future__ import annotations
+
+import base64
+import binascii
+from typing import Any
+from typing import TYPE_CHECKING
+
+import aiohttp
+import msgspec
+
+from cowslipshift.platform import names
+from cowslipshift.store import exceptions
+from cowslipshift.store import interface
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Mapping
+
+CALL_TIMEOUT_S = 1.0
+"""Two hundred times the answer time that the platform states."""
+
+WATCH_MARGIN_S = 1.0
+
+
+class _WireItem(msgspec.Struct):
+    key: str
+    rev: int
+    value: str | None = None
+    deleted: bool = False
+
+
+class _Page(msgspec.Struct):
+    items: list[_WireItem]
+    store_revision: int
+    has_more: bool = False
+
+
+class _Events(msgspec.Struct):
+    events: list[_WireItem]
+    store_revision: int
+
+
+class _Lease(msgspec.Struct):
+    lease: int
+
+
+class PlatformStore:
+    """Calls the platform's store; implements `RevisionedStore`.
+
+    Args:
+        address: ``ip:port`` of the store.
+        session: HTTP session to use; the caller closes it.
+        count: Told kind and outcome of each call.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        session: aiohttp.ClientSession,
+        count: Callable[[str, str], None],
+    ) -> None:
+        self._url = f"http://{address}"
+        self._session = session
+        self._count = count
+
+    async def read_prefix(self, prefix: str) -> interface.Snapshot:
+        """Read all items whose keys begin with a prefix, page by page."""
+        items: list[interface.Item] = []
+        revision = 0
+        params = {"prefix": prefix}
+        while True:
+            raw = await self._call("GET", names.RANGE_PATH, params)
+            page = _decode(raw, _Page)
+            items += [_convert(item) for item in page.items]
+            # Pages are no snapshot: only what the first one saw is certain.
+            revision = revision or page.store_revision
+            if not page.has_more or not page.items:
+                return interface.Snapshot(tuple(items), revision)
+            params["after"] = page.items[-1].key
+
+    async def watch_prefix(
+        self, prefix: str, after: int, wait_s: float
+    ) -> interface.Snapshot:
+        """Wait for changes after a revision."""
+        params = {
+            "prefix": prefix,
+            "after": str(after),
+            "wait_ms": str(int(wait_s * 1000)),
+        }
+        raw = await self._call(
+            "GET", names.WATCH_PATH, params, timeout_s=wait_s + WATCH_MARGIN_S
+        )
+        found = _decode(raw, _Events)
+        events = tuple(_convert(event) for event in found.events)
+        return interface.Snapshot(events, found.store_revision)
+
+    async def swap_items(
+        self,
+        expected: Mapping[str, int],
+        writes: Mapping[str, bytes],
+        lease: int = 0,
+    ) -> bool:
+        """Write all if each expected key still has its revision."""
+        body = {
+            "expected": [{"key": k, "rev": r} for k, r in expected.items()],
+            "writes": [
+                {
+                    "key": key,
+                    "value": base64.b64encode(value).decode(),
+                    "lease": lease,
+                }
+                for key, value in writes.items()
+            ],
+            "deletes": [],
+        }
+        status, _ = await self._exchange("POST", names.TXN_PATH, body=body)
+        return self._check(status, (200, 404, 412)) == 200
+
+    async def grant_lease(self, ttl_s: float) -> int:
+        """Create a lease and return its id."""
+        raw = await self._call(
+            "POST", names.LEASE_PATH, body={"ttl_ms": int(ttl_s * 1000)}
+        )
+        lease: int = _decode(raw, _Lease).lease
+        return lease
+
+    async def keep_lease(self, lease: int) -> bool:
+        """Renew a lease; return whether it still exists."""
+        status, _ = await self._exchange("POST", f"{names.KEEP_PATH}/{lease}")
+        return self._check(status, (200, 404)) == 200
+
+    async def end_lease(self, lease: int) -> None:
+        """End a lease and delete its keys."""
+        status, _ = await self._exchange(
+            "DELETE", f"{names.LEASE_END_PATH}/{lease}"
+        )
+        self._check(status, (200, 204, 404))
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        params: Mapping[str, str] | None = None,
+        body: object = None,
+        timeout_s: float = CALL_TIMEOUT_S,
+    ) -> bytes:
+        status, raw = await self._exchange(
+            method, path, params, body, timeout_s
+        )
+        if status == 410:
+            raise exceptions.HistoryGoneError(
+                "the store dropped the history of a watch"
+            )
+        self._check(status, (200,))
+        return raw
+
+    async def _exchange(
+        self,
+        method: str,
+        path: str,
+        params: Mapping[str, str] | None = None,
+        body: object = None,
+        timeout_s: float = CALL_TIMEOUT_S,
+    ) -> tuple[int, bytes]:
+        kind = path.split("/")[2]
+        try:
+            async with self._session.request(
+                method,
+                self._url + path,
+                params=params,
+                json=body,
+                timeout=aiohttp.ClientTimeout(total=timeout_s),
+            ) as response:
+                raw = await response.read()
+                self._count(kind, str(response.status))
+                return response.status, raw
+        except (TimeoutError, aiohttp.ClientError, OSError) as error:
+            self._count(kind, "none")
+            raise exceptions.StoreUnavailableError(
+                f"the store did not answer {kind}: {error!r}"
+            ) from error
+
+    def _check(self, status: int, allowed: tuple[int, ...]) -> int:
+        if status not in allowed:
+            raise exceptions.StoreUnavailableError(
+                f"the store answered with status {status}"
+            )
+        return status
+
+
+def _decode(raw: bytes, kind: type[Any]) -> Any:
+    try:
+        return msgspec.json.decode(raw, type=kind)
+    except (msgspec.DecodeError, ValueError) as error:
+        raise exceptions.StoreAnswerError(
+            f"the store's answer is malformed: {error}"
+        ) from error
+
+
+def _convert(item: _WireItem) -> interface.Item:
+    if item.deleted or item.value is None:
+        return interface.Item(item.key, None, item.rev)
+    try:
+        value = base64.b64decode(item.value, validate=True)
+    except (binascii.Error, ValueError):
+        # Bytes of another writer that nobody can read: kept as they are,
+        # so that the codec rejects them with the key's name.
+        value = item.value.encode()
+    return interface.Item(item.key, value, item.rev)
--- /dev/null
+++ b/src/cowslipshift/platform/translation.py
@@ -0,0 +1,65 @@
+"""Tells what a change of an item in the platform's store means."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from cowslipshift.platform import codec
+from cowslipshift.platform import exceptions
+from cowslipshift.platform import names
+from cowslipshift.steering import changes
+from cowslipshift.steering import model
+from cowslipshift.steering import rollouts
+
+if TYPE_CHECKING:
+    from cowslipshift.store import interface
+
+
+def translate_item(item: interface.Item) -> changes.Change | None:
+    """Return the change that an item stands for, if it concerns steering.
+
+    Raises:
+        MalformedEntryError: It is not what its key promises.
+        StoreAnswerError: A stage of a roll-out cannot be read.
+    """
+    key, value = item.key, item.value
+    if key == names.CONFIG_KEY:
+        return changes.PlanChange(codec.decode_plan(value)) if value else None
+    if key.startswith(names.BACKEND_PREFIX):
+        identity = key.removeprefix(names.BACKEND_PREFIX)
+        if value is None:
+            return changes.BackendChange(identity, None)
+        return changes.BackendChange(
+            identity, codec.decode_backend(identity, value)
+        )
+    if key.startswith(names.ROLLOUT_PREFIX):
+        service = key.removeprefix(names.ROLLOUT_PREFIX)
+        if value is None:
+            return changes.OrderChange(service, None)
+        order = codec.decode_rollout(value, item.revision)
+        return changes.OrderChange(service, order)
+    if key.startswith(names.EVACUATION_PREFIX):
+        centre = key.removeprefix(names.EVACUATION_PREFIX)
+        return changes.EvacuationChange(centre, value is not None)
+    if key.startswith(names.STAGE_PREFIX):
+        service = key.removeprefix(names.STAGE_PREFIX)
+        stage = rollouts.decode_stage(value) if value else None
+        revision = item.revision if value else 0
+        return changes.StageChange(service, stage, revision)
+    if key.startswith(names.MEMBER_PREFIX):
+        name = key.removeprefix(names.MEMBER_PREFIX)
+        return changes.MemberChange(name, _decode_member(value))
+    return None
+
+
+def _decode_member(value: bytes | None) -> model.Member | None:
+    if value is None:
+        return None
+    try:
+        return msgspec.json.decode(value, type=model.Member)
+    except (msgspec.DecodeError, ValueError) as error:
+        raise exceptions.MalformedEntryError(
+            f"the announcement of a host is malformed: {error}"
+        ) from error
--- /dev/null
+++ b/src/cowslipshift/steering/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions of a host on a platform: no network, time is an argument."""
--- /dev/null
+++ b/src/cowslipshift/steering/changes.py
@@ -0,0 +1,63 @@
+"""Changes of what operators, backend servers and hosts have written."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+
+if TYPE_CHECKING:
+    from cowslipshift.steering import model
+    from cowslipshift.steering import rollouts
+
+
+class PlanChange(msgspec.Struct, frozen=True):
+    """A configuration was accepted."""
+
+    plan: model.Plan
+
+
+class BackendChange(msgspec.Struct, frozen=True):
+    """A backend server registered, changed, or is gone (``None``)."""
+
+    id: str
+    backend: model.Backend | None
+
+
+class OrderChange(msgspec.Struct, frozen=True):
+    """A roll-out was ordered, or its order is gone (``None``)."""
+
+    service: str
+    order: model.RolloutOrder | None
+
+
+class StageChange(msgspec.Struct, frozen=True):
+    """A roll-out reached another stage."""
+
+    service: str
+    stage: rollouts.Stage | None
+    revision: int
+
+
+class EvacuationChange(msgspec.Struct, frozen=True):
+    """A data centre is to be left, or may be used again."""
+
+    data_centre: str
+    is_active: bool
+
+
+class MemberChange(msgspec.Struct, frozen=True):
+    """A host announced itself, or is gone (``None``)."""
+
+    name: str
+    member: model.Member | None
+
+
+Change = (
+    PlanChange
+    | BackendChange
+    | OrderChange
+    | StageChange
+    | EvacuationChange
+    | MemberChange
+)
--- /dev/null
+++ b/src/cowslipshift/steering/desk.py
@@ -0,0 +1,468 @@
+"""Chooses a backend server for each request, or refuses it."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from cowslipshift.coordination import budgets
+from cowslipshift.coordination import hashing
+from cowslipshift.steering import backends
+from cowslipshift.steering import changes
+from cowslipshift.steering import placement
+from cowslipshift.steering import rollouts
+from cowslipshift.steering import routes
+from cowslipshift.steering import splits
+from cowslipshift.steering import works
+
+if TYPE_CHECKING:
+    from cowslipshift.steering import accounts
+    from cowslipshift.steering import model
+    from cowslipshift.steering import presence as presences
+
+REGION_HOP_S = 0.024
+"""Round trip between regions, as the platform states it."""
+
+LOCAL_HOP_S = 0.002
+
+EVACUATED_COLD_S = 3.0
+"""Servers of a data centre that is taken back may have become cold."""
+
+COLD_OPENERS = 2
+"""Hosts that may send to a cold server when nothing else is left. More
+than one, so that it is used when one of them is gone."""
+
+CANDIDATES = 2
+"""Servers in an object's order that are weighed against each other. More
+would spread each object over many servers, which forget others for it."""
+
+COLD_SAFETY = 0.7
+MIN_RETRY_AFTER_S = 0.1
+MAX_RETRY_AFTER_S = 1.0
+
+RETRY_SAFETY = 0.6
+"""Part of the retry budget that is spent: hosts see each other's requests
+late."""
+
+RESERVE_S = 10.0
+"""Seconds of its part of the slack that a host may save up: half of the
+slack comes in time, half may be saved."""
+
+UNSTABLE_FOR_S = 2.2
+"""How long after an outage of the store entries that lapsed may come back;
+the platform says about two seconds."""
+
+
+class Choice(msgspec.Struct):
+    """A backend server for one attempt.
+
+    Attributes:
+        expected_s: Predicted time until its answer.
+        usual_s: What it would take at a server that is not slow, as far
+            as this host knows the server's warmth.
+        is_warm: Whether the server is thought to be warm for the object.
+        is_known_warm: Whether this host has seen that it is.
+        position: Place in the order of preference; 0 is the first.
+        load: Its estimated load.
+        queue_s: Part of the prediction that is spent waiting.
+    """
+
+    state: backends.BackendState
+    expected_s: float
+    usual_s: float
+    is_warm: bool
+    is_known_warm: bool
+    position: int
+    load: float
+    queue_s: float
+
+
+class Refusal(msgspec.Struct, frozen=True):
+    """No server can take the request now.
+
+    Attributes:
+        reason: A short code.
+        retry_after_s: When there will be room, as far as is known.
+    """
+
+    reason: str
+    retry_after_s: float
+
+
+class Call(msgspec.Struct):
+    """A request on its way.
+
+    Attributes:
+        id: The caller's id of the request.
+        thing: The object that it concerns, or empty.
+        deadline_s: Monotonic time by which it must be answered.
+        regions: Regions that may serve it; ``None`` for all.
+        is_new: Whether the new version of a roll-out is to run it.
+        tried: Backend servers that it was sent to, or tried to be.
+    """
+
+    id: str
+    route: model.Route
+    account: model.Account | None
+    thing: str
+    service: str
+    arrived_s: float
+    deadline_s: float
+    regions: frozenset[str] | None
+    is_new: bool
+    tried: set[str]
+
+
+class Desk:
+    """The decisions of one host.
+
+    Args:
+        presence: Which hosts are alive.
+        regions: Region by data centre.
+        retry_ratio: Retries allowed for each request of a service.
+        retry_slack: Retries allowed besides, all hosts together.
+        retry_window_s: Window of the retry slack.
+        account_desk: Limits of the client accounts.
+    """
+
+    def __init__(
+        self,
+        presence: presences.Presence,
+        regions: dict[str, str],
+        retry_ratio: float,
+        retry_slack: float,
+        retry_window_s: float,
+        account_desk: accounts.AccountDesk,
+    ) -> None:
+        self.presence = presence
+        self.accounts = account_desk
+        self.rollouts: dict[str, rollouts.Rollout] = {}
+        self.plan: model.Plan | None = None
+        self.evacuated: set[str] = set()
+        self.backends: dict[str, backends.BackendState] = {}
+        self._own_region = presence.own.region
+        self._regions = regions
+        self._retry_ratio = retry_ratio * RETRY_SAFETY
+        self._retry_slack = retry_slack * RETRY_SAFETY / retry_window_s / 2
+        self._most_retries = 1.0
+        self._budgets: dict[str, budgets.RetryBudget] = {}
+        self._routes = routes.RouteTable(())
+        self._splitters: dict[str, splits.Splitter] = {}
+        self._works: dict[str, works.RouteWork] = {}
+        self._services: dict[str, list[backends.BackendState]] = {}
+        self._orders: dict[tuple[str, str], list[backends.BackendState]] = {}
+        self._cold_sent_s: dict[str, float] = {}
+        self._lapsed: dict[str, float] = {}
+        self._unstable_until_s = -1e9
+
+    # What others wrote
+
+    def apply(self, change: changes.Change, now: float) -> bool:
+        """Take a change; return whether it differs from what was known."""
+        if isinstance(change, changes.PlanChange):
+            return self._apply_plan(change.plan, now)
+        if isinstance(change, changes.BackendChange):
+            if change.backend is None:
+                return self._remove_backend(change.id, now)
+            return self._apply_backend(change.backend, now)
+        if isinstance(change, changes.OrderChange):
+            self._get_rollout(change.service).set_order(change.order, now)
+        elif isinstance(change, changes.StageChange):
+            self._get_rollout(change.service).set_stage(
+                change.stage, change.revision, now
+            )
+        elif isinstance(change, changes.EvacuationChange):
+            return self._apply_evacuation(change, now)
+        else:
+            self.presence.set_member(change.name, change.member, now)
+        return True
+
+    def note_unstable(self, now: float) -> None:
+        """Learn that the store is away: entries may lapse meanwhile."""
+        self._unstable_until_s = now + UNSTABLE_FOR_S
+
+    def drop_lapsed(self, now: float) -> list[str]:
+        """Drop servers whose entries lapsed and did not come back."""
+        if now < self._unstable_until_s:
+            return []
+        gone = list(self._lapsed)
+        self._lapsed.clear()
+        for identity in gone:
+            self._drop(identity)
+        return gone
+
+    def _apply_plan(self, plan: model.Plan, now: float) -> bool:
+        if self.plan is not None and plan.version <= self.plan.version:
+            return False
+        self.plan = plan
+        self._routes = routes.RouteTable(plan.routes)
+        for route in plan.routes:
+            splitter = self._splitters.get(route.name)
+            if splitter is None or splitter.parts != route.parts:
+                self._splitters[route.name] = splits.Splitter(route.parts)
+            if route.name not in self._works:
+                self._works[route.name] = works.RouteWork(route)
+        self.accounts.apply(plan.accounts.values(), now)
+        return True
+
+    def _apply_backend(self, entry: model.Backend, now: float) -> bool:
+        self._lapsed.pop(entry.id, None)
+        known = self.backends.get(entry.id)
+        if known is not None and known.entry.started_ms > entry.started_ms:
+            return False
+        cold_until_s = now + entry.cold_s
+        if known is None or known.entry.started_ms != entry.started_ms:
+            state = backends.BackendState(entry, now, cold_until_s)
+            self.backends[entry.id] = state
+            self._orders.clear()
+            self._rebuild()
+            return True
+        is_same = known.entry.is_draining == entry.is_draining
+        if entry.cold_s > 0.0:
+            if not known.is_cold(now):
+                known.forget_warmth()
+            known.cold_until_s = cold_until_s
+        known.entry = entry
+        known.leaves = entry.is_draining
+        return not is_same
+
+    def _remove_backend(self, identity: str, now: float) -> bool:
+        if identity not in self.backends:
+            return False
+        if now < self._unstable_until_s:
+            self._lapsed[identity] = now
+            return True
+        self._drop(identity)
+        return True
+
+    def _drop(self, identity: str) -> None:
+        state = self.backends.pop(identity, None)
+        if state is not None:
+            state.leaves = True
+            self._orders.clear()
+            self._rebuild()
+
+    def _rebuild(self) -> None:
+        self._services = {}
+        for state in self.backends.values():
+            listed = self._services.setdefault(state.entry.service, [])
+            listed.append(state)
+
+    def _apply_evacuation(
+        self, change: changes.EvacuationChange, now: float
+    ) -> bool:
+        name = change.data_centre
+        if change.is_active:
+            is_new = name not in self.evacuated
+            self.evacuated.add(name)
+            self._orders.clear()
+            return is_new
+        if name not in self.evacuated:
+            return False
+        self.evacuated.discard(name)
+        self._orders.clear()
+        for state in self.backends.values():
+            if state.entry.data_centre == name:
+                state.forget_warmth()
+                state.cold_until_s = max(
+                    state.cold_until_s, now + EVACUATED_COLD_S
+                )
+        return True
+
+    def _get_rollout(self, service: str) -> rollouts.Rollout:
+        rollout = self.rollouts.get(service)
+        if rollout is None:
+            rollout = self.rollouts[service] = rollouts.Rollout(service)
+        return rollout
+
+    # Requests
+
+    def find_route(self, hostname: str, path: str) -> model.Route | None:
+        """Return the route of a request."""
+        return self._routes.find_route(hostname, path)
+
+    def find_account(self, key: str) -> model.Account | None:
+        """Return the account that a key belongs to."""
+        if self.plan is None:
+            return None
+        name = self.plan.accounts_by_key.get(key)
+        return None if name is None else self.plan.accounts.get(name)
+
+    def open_call(
+        self,
+        request_id: str,
+        route: model.Route,
+        account: model.Account | None,
+        thing: str,
+        deadline_s: float,
+        now: float,
+    ) -> Call:
+        """Begin a request: choose its service and version."""
+        service = self._splitters[route.name].choose_service()
+        rollout = self.rollouts.get(service)
+        self._get_budget(service).note_attempt(self._retry_ratio)
+        return Call(
+            id=request_id,
+            route=route,
+            account=account,
+            thing=thing if route.has_affinity else "",
+            service=service,
+            arrived_s=now,
+            deadline_s=deadline_s,
+            regions=_intersect(route, account),
+            is_new=rollout is not None and rollout.choose_new(),
+            tried=set(),
+        )
+
+    def choose_backend(self, call: Call, now: float) -> Choice | Refusal:
+        """Choose where the next attempt of a request goes."""
+        usable = [
+            state
+            for state in self._rank(call)
+            if self._is_usable(state, call, now)
+        ]
+        started = [state for state in usable if not state.is_cold(now)]
+        best: Choice | None = None
+        for position, state in enumerate(started[:CANDIDATES]):
+            choice = self._predict(call, state, position, now)
+            if best is None or choice.expected_s < best.expected_s:
+                best = choice
+        if best is None:
+            best = self._choose_cold(call, usable, now)
+        if best is None:
+            return Refusal("no_backend", MIN_RETRY_AFTER_S * 5)
+        left_s = call.deadline_s - now
+        wait_s = best.expected_s - left_s
+        # What is only presumed of the work itself refuses nobody.
+        if best.queue_s > 0.0 and wait_s > 0.0:
+            return Refusal(
+                "no_room",
+                min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, wait_s)),
+            )
+        return best
+
+    def try_retry(self, service: str) -> bool:
+        """Take a retry from the service's budget if there is one."""
+        return self._get_budget(service).try_spend()
+
+    def refill_budgets(self, passed_s: float, now: float) -> None:
+        """Add this host's part of the retry slack."""
+        hosts = self.presence.count_hosts()
+        self._most_retries = max(1.0, self._retry_slack * RESERVE_S / hosts)
+        for budget in self._budgets.values():
+            budget.limit_reserve(self._most_retries)
+            budget.note_attempt(self._retry_slack * passed_s / hosts)
+
+    def learn(self, call: Call, choice: Choice, took_s: float) -> None:
+        """Learn from an answer that the server made."""
+        if choice.load < choice.state.entry.slots:
+            self._works[call.route.name].learn(took_s, choice.is_known_warm)
+
+    def note_outcome(self, call: Call, version: str, is_bad: bool) -> bool:
+        """Count an answer for the roll-out of its service, if any."""
+        rollout = self.rollouts.get(call.service)
+        return rollout is not None and rollout.note_answer(version, is_bad)
+
+    def _rank(self, call: Call) -> list[backends.BackendState]:
+        key = (call.service, call.thing or call.id)
+        known = self._orders.get(key)
+        if known is None:
+            by_region: dict[str, list[backends.BackendState]] = {}
+            for state in self._services.get(call.service, ()):
+                if state.entry.data_centre not in self.evacuated:
+                    region = self._regions.get(state.entry.data_centre, "")
+                    by_region.setdefault(region, []).append(state)
+            known = placement.rank_backends(
+                "|".join(key),
+                self._own_region,
+                by_region,
+                len(set(self._regions.values())),
+            )
+            if call.thing:
+                self._orders[key] = known
+        return known
+
+    def _is_usable(
+        self, state: backends.BackendState, call: Call, now: float
+    ) -> bool:
+        entry = state.entry
+        if state.leaves or entry.id in call.tried:
+            return False
+        if entry.data_centre in self.evacuated:
+            return False
+        region = self._regions.get(entry.data_centre)
+        if call.regions is not None and region not in call.regions:
+            return False
+        if state.is_ejected(now):
+            return False
+        rollout = self.rollouts.get(call.service)
+        return rollout is None or rollout.may_use(entry.version, call.is_new)
+
+    def _predict(
+        self,
+        call: Call,
+        state: backends.BackendState,
+        position: int,
+        now: float,
+    ) -> Choice:
+        work = self._works[call.route.name]
+        is_known_warm = not call.thing or state.is_warm_for(call.thing, now)
+        is_warm = is_known_warm or position == 0
+        usual_s = work.get_usual(is_warm)
+        region = self._regions.get(state.entry.data_centre)
+        hop_s = LOCAL_HOP_S if region == self._own_region else REGION_HOP_S
+        queue_s = state.estimate_wait(now, work.warm_s)
+        work_s = usual_s * state.estimate_slowness(now)
+        expected_s = hop_s + queue_s + work_s
+        return Choice(
+            state,
+            expected_s,
+            hop_s + queue_s + work.get_usual(is_known_warm),
+            is_warm,
+            is_known_warm,
+            position,
+            state.estimate_load(now),
+            queue_s,
+        )
+
+    def _choose_cold(
+        self,
+        call: Call,
+        usable: list[backends.BackendState],
+        now: float,
+    ) -> Choice | None:
+        assert self.plan is not None
+        service = self.plan.services.get(call.service)
+        rate = service.cold_rate if service is not None else 1.0
+        hosts = [member.name for member in self.presence.list_live(now)]
+        interval_s = COLD_OPENERS / max(0.1, rate * COLD_SAFETY)
+        for position, state in enumerate(usable):
+            identity = state.entry.id
+            if now - self._cold_sent_s.get(identity, -1e9) < interval_s:
+                continue
+            openers = hashing.rank_members(f"cold|{identity}", hosts)
+            if self.presence.own.name not in openers[:COLD_OPENERS]:
+                continue
+            self._cold_sent_s[identity] = now
+            return self._predict(call, state, position, now)
+        return None
+
+    def _get_budget(self, service: str) -> budgets.RetryBudget:
+        budget = self._budgets.get(service)
+        if budget is None:
+            budget = self._budgets[service] = budgets.RetryBudget(
+                self._most_retries
+            )
+        return budget
+
+
+def _intersect(
+    route: model.Route, account: model.Account | None
+) -> frozenset[str] | None:
+    limits = [frozenset(route.regions)] if route.regions else []
+    if account is not None and account.regions:
+        limits.append(frozenset(account.regions))
+    if not limits:
+        return None
+    return frozenset.intersection(*limits)
--- /dev/null
+++ b/src/cowslipshift/steering/presence.py
@@ -0,0 +1,123 @@
+"""Which hosts are alive, from what they announce and what is heard."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from cowslipshift.steering import model
+
+SILENT_AFTER_BEATS = 5.0
+"""Intervals without a word after which a host is no longer named."""
+
+GRACE_BEATS = 4.0
+"""Intervals in which a host that has just announced itself may be silent."""
+
+BASE_INTERVAL_S = 0.4
+HOSTS_AT_BASE = 20
+"""Up to this many hosts all speak at the base interval; with more, the
+interval grows, so that what a host hears stays bounded."""
+
+
+class Presence:
+    """The hosts of the system as one of them sees it.
+
+    Args:
+        own: This host.
+    """
+
+    def __init__(self, own: model.Member) -> None:
+        self.own = own
+        self.is_leaving = False
+        self._members: dict[str, model.Member] = {own.name: own}
+        self._heard_s: dict[str, float] = {}
+        self._leaving: set[str] = set()
+
+    def set_member(
+        self, name: str, member: model.Member | None, now: float
+    ) -> None:
+        """Take the announcement of a host, or the word that it is gone."""
+        if name == self.own.name:
+            return
+        if member is None:
+            self._members.pop(name, None)
+            self._heard_s.pop(name, None)
+            return
+        known = self._members.get(name)
+        self._members[name] = member
+        if known is None or known.incarnation != member.incarnation:
+            beats = SILENT_AFTER_BEATS - GRACE_BEATS
+            self._heard_s[name] = now - beats * self.get_interval()
+            self._leaving.discard(name)
+
+    def note_heard(
+        self, name: str, incarnation: int, is_leaving: bool, now: float
+    ) -> None:
+        """Record that a host spoke."""
+        member = self._members.get(name)
+        if member is None or member.incarnation != incarnation:
+            return
+        self._heard_s[name] = now
+        if is_leaving:
+            self._leaving.add(name)
+
+    def get_interval(self) -> float:
+        """Return seconds between two words of a host."""
+        crowd = max(1.0, len(self._members) / HOSTS_AT_BASE)
+        return BASE_INTERVAL_S * crowd
+
+    def count_hosts(self) -> int:
+        """Return the number of announced hosts, this one included."""
+        return len(self._members)
+
+    def list_peers(self) -> list[model.Member]:
+        """Return all announced hosts but this one."""
+        return [
+            member
+            for name, member in self._members.items()
+            if name != self.own.name
+        ]
+
+    def is_alive(self, name: str, now: float) -> bool:
+        """Tell whether a host was heard lately."""
+        if name == self.own.name:
+            return True
+        limit_s = SILENT_AFTER_BEATS * self.get_interval()
+        return now - self._heard_s.get(name, -1e9) < limit_s
+
+    def list_live(self, now: float) -> list[model.Member]:
+        """Return the hosts that are alive, this one included."""
+        return [
+            member
+            for name, member in self._members.items()
+            if self.is_alive(name, now)
+        ]
+
+    def list_usable(self, now: float) -> list[model.Member]:
+        """Return the hosts that callers may be sent to."""
+        return [
+            member
+            for member in self.list_live(now)
+            if not self._leaves(member.name)
+        ]
+
+    def _leaves(self, name: str) -> bool:
+        if name == self.own.name:
+            return self.is_leaving
+        return name in self._leaving
+
+
+def choose_fronts(
+    members: list[model.Member], region: str, own: model.Member
+) -> list[str]:
+    """Return the addresses that a caller is sent to.
+
+    Args:
+        members: Hosts that callers may be sent to.
+        region: The caller's region.
+        own: The host that answers; the last resort.
+    """
+    near = [member.front for member in members if member.region == region]
+    if not near:
+        near = [member.front for member in members]
+    return sorted(near) or [own.front]
--- /dev/null
+++ b/src/cowslipshift/steering/rollouts.py
@@ -0,0 +1,352 @@
+"""Brings in new versions of services in time, or takes them back.
+
+All hosts follow the stage that stands in the store. One host at a time, by
+rank, judges what all have counted and writes the next stage under a
+condition; if it does not, the next in rank does. Each host also stops using
+a version by itself as soon as its own requests condemn it: stopping needs
+nobody's consent.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from cowslipshift.coordination import hashing
+from cowslipshift.store import exceptions
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from cowslipshift.steering import model
+
+WATCHING = "watching"
+COMPLETED = "completed"
+ROLLED_BACK = "rolled_back"
+
+LADDER = (
+    (0.0, 0.07),
+    (0.50, 0.25),
+    (0.57, 0.55),
+    (0.64, 1.0),
+)
+"""Part of the ramp's time at which a stage may begin, and the share of
+requests that the new version then gets. The first stage is long, since some
+versions turn bad late; its share keeps below the exposure that operators
+allow, a tenth."""
+
+DONE_AT = 0.80
+"""Part of the ramp's time at which the old version may be left behind."""
+
+GIVE_UP_AT = 0.93
+"""Part of the ramp's time at which a version that is not done is taken
+back, so that the word arrives before the deadline."""
+
+MIN_ANSWERS = 20
+"""Answers of the new version that the first step up needs."""
+
+MIN_BAD = 4
+BAD_SHARE = 0.06
+"""A version is condemned from this many and this share of bad answers on;
+sound ones stay below half a percent."""
+
+TIMES_WORSE = 3.0
+OWN_MIN_BAD = 3
+OWN_BAD_SHARE = 0.2
+"""What a host needs to stop using a version before all have judged it."""
+
+RANK_DELAY_S = 1.2
+"""How long a host waits for each one before it in rank."""
+
+
+DEFER_S = 0.6
+"""Time for a stage that was written to come back from the store."""
+
+
+class Stage(msgspec.Struct, frozen=True, kw_only=True):
+    """How far a roll-out has come; kept in the store.
+
+    Attributes:
+        order: Store revision of the order that it belongs to.
+        version: The new version.
+        step: Index into the ladder.
+        state: Watching, completed or rolled back.
+        started_ms: Unix time at which the order was first seen.
+        condemned: Versions that are never to be used again.
+        reason: Why it is what it is.
+    """
+
+    order: int
+    version: str
+    step: int
+    state: str
+    started_ms: int
+    condemned: tuple[str, ...] = ()
+    reason: str = ""
+
+
+class Counts(msgspec.Struct, frozen=True):
+    """Answers by version since an order, on one or all hosts."""
+
+    new: int = 0
+    new_bad: int = 0
+    old: int = 0
+    old_bad: int = 0
+
+    def add(self, other: Counts) -> Counts:
+        """Return the sums."""
+        return Counts(
+            self.new + other.new,
+            self.new_bad + other.new_bad,
+            self.old + other.old,
+            self.old_bad + other.old_bad,
+        )
+
+    def is_bad(self, least: int, share: float) -> bool:
+        """Tell whether the new version is worse than chance explains.
+
+        Args:
+            least: Fewest bad answers that count as proof.
+            share: Smallest share of bad answers that does.
+        """
+        if self.new_bad < least or self.new_bad < share * self.new:
+            return False
+        old_share = self.old_bad / self.old if self.old else 0.0
+        return self.new_bad / self.new > TIMES_WORSE * old_share
+
+
+def encode_stage(stage: Stage) -> bytes:
+    """Write a stage."""
+    return msgspec.json.encode(stage)
+
+
+def decode_stage(raw: bytes) -> Stage:
+    """Read a stage.
+
+    Raises:
+        StoreAnswerError: The bytes are none.
+    """
+    try:
+        return msgspec.json.decode(raw, type=Stage)
+    except (msgspec.DecodeError, ValueError) as error:
+        raise exceptions.StoreAnswerError(
+            f"a stage of a roll-out is malformed: {error}"
+        ) from error
+
+
+class Rollout:
+    """One service's roll-out as one host sees it.
+
+    Attributes:
+        order: The operators' order, or ``None``.
+        stage: The stage in the store, or ``None``.
+        stage_revision: Its store revision; 0 if there is none.
+    """
+
+    __slots__ = (
+        "_changed_s",
+        "_owed",
+        "_peers",
+        "_seen_s",
+        "condemns",
+        "counts",
+        "order",
+        "service",
+        "stage",
+        "stage_revision",
+    )
+
+    def __init__(self, service: str) -> None:
+        self.service = service
+        self.order: model.RolloutOrder | None = None
+        self.stage: Stage | None = None
+        self.stage_revision = 0
+        self.counts = Counts()
+        self.condemns = False
+        self._peers: dict[str, Counts] = {}
+        self._owed = 0.0
+        self._seen_s = 0.0
+        self._changed_s = 0.0
+
+    def set_order(self, order: model.RolloutOrder | None, now: float) -> None:
+        """Take the operators' order, or the word that it is gone."""
+        if order is not None and (
+            self.order is None or self.order.order != order.order
+        ):
+            self.counts = Counts()
+            self.condemns = False
+            self._peers.clear()
+            self._owed = 0.0
+            self._seen_s = self._changed_s = now
+        self.order = order
+
+    def set_stage(
+        self, stage: Stage | None, revision: int, now: float
+    ) -> None:
+        """Take the stage in the store."""
+        self.stage = stage
+        self.stage_revision = revision
+        self._changed_s = now
+
+    def get_current_stage(self) -> Stage | None:
+        """Return the stage of the order in force."""
+        if self.order is None or self.stage is None:
+            return self.stage
+        return self.stage if self.stage.order == self.order.order else None
+
+    def measure_share(self) -> float:
+        """Return the part of requests that the new version gets."""
+        stage = self.get_current_stage()
+        if self.order is None or stage is None or self.condemns:
+            return 0.0
+        if stage.state == COMPLETED:
+            return 1.0
+        if stage.state == ROLLED_BACK:
+            return 0.0
+        return LADDER[stage.step][1]
+
+    def choose_new(self) -> bool:
+        """Choose whether the next request goes to the new version."""
+        self._owed += self.measure_share()
+        if self._owed >= 1.0:
+            self._owed -= 1.0
+            return True
+        return False
+
+    def may_use(self, version: str, is_new: bool) -> bool:
+        """Tell whether a version may run a request.
+
+        Args:
+            version: Version of a backend server.
+            is_new: What `choose_new` said of the request.
+        """
+        if self.stage is not None and version in self.stage.condemned:
+            return False
+        stage = self.get_current_stage()
+        if self.order is None:
+            if stage is not None and stage.state == COMPLETED:
+                return version == stage.version
+            return stage is None or version != stage.version
+        if stage is not None and stage.state == COMPLETED:
+            return version == self.order.version
+        return (version == self.order.version) == is_new
+
+    def note_answer(self, version: str, is_bad: bool) -> bool:
+        """Count an answer; return whether this host now condemns."""
+        if self.order is None:
+            return False
+        bad = int(is_bad)
+        if version == self.order.version:
+            self.counts = self.counts.add(Counts(1, bad, 0, 0))
+        else:
+            self.counts = self.counts.add(Counts(0, 0, 1, bad))
+        stage = self.get_current_stage()
+        is_open = stage is None or stage.state == WATCHING
+        if not self.condemns and is_open:
+            self.condemns = self.counts.is_bad(OWN_MIN_BAD, OWN_BAD_SHARE)
+            return self.condemns
+        return False
+
+    def note_peer(
+        self, process: str, order: int, counts: Counts, condemns: bool
+    ) -> None:
+        """Take another process's counts of an order."""
+        if self.order is None or self.order.order != order:
+            return
+        self._peers[process] = counts
+        self.condemns = self.condemns or condemns
+
+    def sum_counts(self) -> Counts:
+        """Return the counts of all hosts."""
+        total = self.counts
+        for counts in self._peers.values():
+            total = total.add(counts)
+        return total
+
+    def judge(
+        self, now: float, wall_s: float, name: str, hosts: Iterable[str]
+    ) -> Stage | None:
+        """Return the next stage if it is this host's turn to write it.
+
+        Args:
+            now: Present time.
+            wall_s: Present Unix time.
+            name: This host.
+            hosts: All live hosts.
+        """
+        if self.order is None:
+            return None
+        stage = self.get_current_stage()
+        if stage is not None and stage.state != WATCHING:
+            return None
+        verdict = self._decide(stage, now, wall_s)
+        if verdict is None:
+            self._changed_s = now
+            return None
+        ranks = hashing.rank_members(f"rollout|{self.service}", {*hosts, name})
+        if now - self._changed_s < RANK_DELAY_S * ranks.index(name):
+            return None
+        return verdict
+
+    def defer(self, now: float) -> None:
+        """Put the next judgement off: one was just written."""
+        self._changed_s = now + DEFER_S
+
+    def _decide(
+        self, stage: Stage | None, now: float, wall_s: float
+    ) -> Stage | None:
+        assert self.order is not None
+        if stage is None:
+            return self._build(0, WATCHING, wall_s, "ordered")
+        passed = max(
+            now - self._seen_s, wall_s - stage.started_ms / 1000.0
+        ) / max(self.order.ramp_s, 1.0)
+        total = self.sum_counts()
+        if self.condemns or total.is_bad(MIN_BAD, BAD_SHARE):
+            return self._build(
+                stage.step,
+                ROLLED_BACK,
+                wall_s,
+                f"{total.new_bad} of {total.new} answers bad",
+            )
+        last = len(LADDER) - 1
+        if stage.step == last and passed >= DONE_AT:
+            return self._build(last, COMPLETED, wall_s, "in time")
+        if passed >= GIVE_UP_AT:
+            return self._build(stage.step, ROLLED_BACK, wall_s, "too late")
+        if stage.step < last and passed >= LADDER[stage.step + 1][0]:
+            if total.new < MIN_ANSWERS:
+                return None
+            return self._build(
+                stage.step + 1,
+                WATCHING,
+                wall_s,
+                f"{total.new_bad} of {total.new} answers bad",
+            )
+        return None
+
+    def _build(
+        self, step: int, state: str, wall_s: float, reason: str
+    ) -> Stage:
+        assert self.order is not None
+        known = self.stage
+        condemned = known.condemned if known is not None else ()
+        current = self.get_current_stage()
+        if state == ROLLED_BACK:
+            condemned = (*condemned, self.order.version)
+        elif current is None:
+            # A version that is ordered again gets another chance.
+            condemned = tuple(v for v in condemned if v != self.order.version)
+        started_ms = (
+            current.started_ms if current is not None else int(wall_s * 1000)
+        )
+        return Stage(
+            order=self.order.order,
+            version=self.order.version,
+            step=step,
+            state=state,
+            started_ms=started_ms,
+            condemned=condemned,
+            reason=reason,
+        )
--- /dev/null
+++ b/src/cowslipshift/steering/routes.py
@@ -0,0 +1,40 @@
+"""Finds the route of a request."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from cowslipshift.steering import model
+
+
+class RouteTable:
+    """Routes by virtual host, longest prefix first."""
+
+    __slots__ = ("_by_host",)
+
+    def __init__(self, routes: Iterable[model.Route]) -> None:
+        self._by_host: dict[str, list[model.Route]] = {}
+        for route in routes:
+            self._by_host.setdefault(route.hostname.lower(), []).append(route)
+        for listed in self._by_host.values():
+            listed.sort(key=lambda route: len(route.prefix), reverse=True)
+
+    def find_route(self, hostname: str, path: str) -> model.Route | None:
+        """Return the route of a request.
+
+        Args:
+            hostname: What the caller names; a port is ignored.
+            path: Its path, without query.
+        """
+        name = hostname.partition(":")[0].lower()
+        for route in self._by_host.get(name, ()):
+            if path.startswith(route.prefix):
+                return route
+        return None
+
+    def has_host(self, hostname: str) -> bool:
+        """Tell whether any route is configured for a virtual host."""
+        return hostname.partition(":")[0].lower() in self._by_host
--- a/src/cowslipshift/store/exceptions.py
+++ b/src/cowslipshift/store/exceptions.py
@@ -21,3 +21,9 @@
     """An endpoint answered something that is not the protocol."""
 
     code = "store_bad_answer"
+
+
+class HistoryGoneError(StoreError):
+    """The store no longer has the changes that a watch asked for."""
+
+    code = "store_history_gone"
--- a/src/cowslipshift/telemetry/logs.py
+++ b/src/cowslipshift/telemetry/logs.py
@@ -115,17 +115,20 @@
         return f"{self._second[1]}.{int((wall_s - second) * 1e6):06}Z"
 
 
-def install_handler(level: str, host: str) -> LineHandler:
-    """Send log lines to standard error.
+def install_handler(
+    level: str, host: str, stream: TextIO = sys.stderr
+) -> LineHandler:
+    """Send log lines to a stream.
 
     Args:
         level: One of `LEVELS`; lower levels are dropped.
         host: Name of the host, the ``host`` field of each line.
+        stream: Where lines go.
 
     Returns:
         The handler, whose ``flush`` is to be called now and then.
     """
-    handler = LineHandler(sys.stderr, level, host)
+    handler = LineHandler(stream, level, host)
     logbook.NullHandler().push_application()
     handler.push_application()
     atexit.register(handler.flush)
