--- a/src/cowslipshift/edge/frontdoor.py
+++ b/src/cowslipshift/edge/frontdoor.py
@@ -134,17 +134,18 @@
         meter = self._desk.accounts.find_meter(account.name)
         if meter is None:
             return
-        wait_s = meter.try_admit(now, self._desk.presence.count_hosts())
+        silence = self._desk.find_silence(now)
+        wait_s = meter.try_admit(now, silence)
         if wait_s > 0.0:
             self._log.info(
                 "account_limited",
                 account=account.name,
-                used=meter.measure_used(now),
+                used=meter.measure_used(now, silence),
                 limit=meter.measure_limit(now),
-                heard_s=meter.measure_age(now),
+                silent_hosts=len(silence.names),
             )
             raise Refused(429, "account_rate", wait_s)
-        if meter.is_urgent():
+        if meter.is_urgent(silence.hosts):
             self._on_urgent()
 
     async def _read_body(
--- a/src/cowslipshift/edge/service.py
+++ b/src/cowslipshift/edge/service.py
@@ -123,17 +123,45 @@
         await self._close()
         self._log.info("stopped", unfinished=self._door.running)
 
+    async def abort(self) -> None:
+        """End without a word to anybody, as a crash does; for tests."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        self._lease = 0
+        await self._close()
+
+    def is_settled(self, hosts: int) -> bool:
+        """Tell whether callers are served and so many hosts were heard."""
+        live = self._presence.list_live(self._clock.now())
+        return (
+            self._desk.plan is not None
+            and len(live) >= hosts
+            and bool(self._desk.backends)
+        )
+
+    @property
+    def desk(self) -> desks.Desk:
+        """The decisions of this host."""
+        return self._desk
+
+    @property
+    def revision(self) -> int:
+        """Store revision that this host has followed up to."""
+        return self._watcher.view.revision
+
     # Assembly
 
     def _assemble(self) -> None:
         settings = self.settings
-        internal = settings.internal_ports[0] + 1
+        port = settings.internal_ports[0]
         self._own = model.Member(
             name=settings.node_name,
             data_centre=settings.zone,
             region=settings.region,
             front=settings.listen.front,
-            internal=f"{settings.ip}:{internal}",
+            internal=f"{settings.ip}:{port + 1}",
+            words=f"{settings.ip}:{port}",
             incarnation=int(self._clock.wall() * 1000),
         )
         self._metrics = metric.EdgeMetrics(settings.node_name)
@@ -151,6 +179,7 @@
                     self.bounds.quota_slack,
                 ),
                 not settings.bootstrap,
+                self._clock.now(),
             ),
         )
         self._session = aiohttp.ClientSession(
@@ -345,7 +374,7 @@
             word.host, word.incarnation, word.is_leaving, now
         )
         process = f"{word.host}@{word.incarnation}"
-        self._desk.accounts.note_reports(process, word.usages, now)
+        self._desk.accounts.note_reports(word.host, word.usages, now)
         for report in word.reports:
             rollout = self._desk.rollouts.get(report.service)
             if rollout is not None:
@@ -357,6 +386,7 @@
     def _tell_peers(self) -> None:
         now = self._clock.now()
         self._told_s = now
+        peers = self._presence.list_peers()
         reports = [
             messages.RolloutReport(
                 rollout.service,
@@ -374,19 +404,10 @@
             is_leaving=self._is_leaving,
             has_store=self._watcher.has_store,
             unstable_s=max(0.0, self._unstable_until_s - now),
-            usages=self._desk.accounts.list_reports(
-                now, self._presence.count_hosts()
-            ),
+            usages=self._desk.accounts.list_reports(now),
             reports=reports,
         )
-        port = self.settings.internal_ports[0]
-        self._gossip.send(
-            word,
-            [
-                f"{member.internal.rpartition(':')[0]}:{port}"
-                for member in self._presence.list_peers()
-            ],
-        )
+        self._gossip.send(word, [member.words for member in peers])
 
     # Tasks
 
--- a/src/cowslipshift/edge/upstream.py
+++ b/src/cowslipshift/edge/upstream.py
@@ -57,32 +57,27 @@
         self._factory: Any = functools.partial(_Connection, loop=self._loop)
 
 
-class _Session(aiohttp.ClientSession):
-    """A session that never sends a request twice by itself.
-
-    aiohttp repeats by method; what may be repeated is the route's matter.
-    """
-
-    ATTRS = aiohttp.ClientSession.ATTRS
-
-    def __init__(self, connector: aiohttp.TCPConnector) -> None:
-        super().__init__(
-            connector=connector,
-            cookie_jar=aiohttp.DummyCookieJar(),
-            auto_decompress=False,
-            skip_auto_headers=SKIPPED_HEADERS,
-            timeout=aiohttp.ClientTimeout(
-                total=None, sock_connect=CONNECT_TIMEOUT_S
-            ),
-        )
-        self._retry_connection = False
+def _open_session() -> aiohttp.ClientSession:
+    session = aiohttp.ClientSession(
+        connector=_Connector(),
+        cookie_jar=aiohttp.DummyCookieJar(),
+        auto_decompress=False,
+        skip_auto_headers=SKIPPED_HEADERS,
+        timeout=aiohttp.ClientTimeout(
+            total=None, sock_connect=CONNECT_TIMEOUT_S
+        ),
+    )
+    # aiohttp sends again by method when a kept connection is gone; what may
+    # be repeated is the route's matter.
+    session._retry_connection = False
+    return session
 
 
 class UpstreamClient:
     """Connections to backend servers."""
 
     def __init__(self) -> None:
-        self._session = _Session(_Connector())
+        self._session = _open_session()
 
     async def send(
         self,
--- /dev/null
+++ b/src/cowslipshift/standins/platformbackend.py
@@ -0,0 +1,169 @@
+"""A small stand-in for a backend server on a platform.
+
+It has slots and a short queue, is quicker for objects that it has handled
+lately, signs its answers, sheds what it cannot take, and records what ran.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+from typing import Any
+
+from aiohttp import web
+import msgspec
+
+from cowslipshift.platform import ingress
+from cowslipshift.platform import names
+
+KEPT_OBJECTS = 30
+QUEUE_PER_SLOT = 3
+
+
+class Conduct(msgspec.Struct):
+    """How the server behaves.
+
+    Attributes:
+        work_s: Time of a request on an object that it does not know.
+        warm_part: Part of that time for an object that it knows.
+        fail_every: Every n-th answer is a 500; 0 for none.
+        silent: Take requests and never answer.
+        cut_short: Break answers off in their middle.
+        crossed: Answer with the id of another request.
+        unsigned: Leave the signature out.
+        shed: Reject everything as not executed.
+    """
+
+    work_s: float = 0.03
+    warm_part: float = 0.3
+    fail_every: int = 0
+    silent: bool = False
+    cut_short: bool = False
+    crossed: bool = False
+    unsigned: bool = False
+    shed: bool = False
+
+
+class Run(msgspec.Struct, frozen=True):
+    """One request that was run, as it arrived."""
+
+    id: str
+    path: str
+    body: bytes
+    headers: dict[str, str]
+
+
+class PlatformBackendStandIn:
+    """One backend server.
+
+    Args:
+        identity: Its id, which requests have to name.
+        slots: Requests that it runs at once.
+    """
+
+    def __init__(self, identity: str, slots: int) -> None:
+        self.identity = identity
+        self.slots = slots
+        self.conduct = Conduct()
+        self.runs: list[Run] = []
+        self.broken_off = 0
+        self._running = 0
+        self._waiting = 0
+        self._free = asyncio.Semaphore(slots)
+        self._known: collections.OrderedDict[str, None] = (
+            collections.OrderedDict()
+        )
+
+    def build_entry(
+        self,
+        address: str,
+        service: str,
+        data_centre: str,
+        version: str = "v1",
+        state: str = "ready",
+        cold_ms: int = 0,
+    ) -> bytes:
+        """Return the entry with which it registers itself."""
+        return msgspec.json.encode(
+            {
+                "address": address,
+                "info": {
+                    "service": service,
+                    "version": version,
+                    "zone": data_centre,
+                    "concurrency": self.slots,
+                },
+                "status": {
+                    "state": state,
+                    "seq": 1,
+                    "cold_remaining_ms": cold_ms,
+                },
+                "born": 1,
+            }
+        )
+
+    async def handle(self, request: web.Request) -> web.StreamResponse:
+        """Run a request, or say that it did not run."""
+        if request.headers.get(names.INSTANCE, "") != self.identity:
+            return web.Response(status=421)
+        limit = self.slots * (1 + QUEUE_PER_SLOT)
+        if self.conduct.shed or self._running + self._waiting >= limit:
+            return web.Response(status=503, headers={names.NOT_EXECUTED: "1"})
+        body = await request.read()
+        self._waiting += 1
+        try:
+            await self._free.acquire()
+        finally:
+            self._waiting -= 1
+        self._running += 1
+        try:
+            return await self._run(request, body)
+        except asyncio.CancelledError:
+            self.broken_off += 1
+            raise
+        finally:
+            self._running -= 1
+            self._free.release()
+
+    async def _run(
+        self, request: web.Request, body: bytes
+    ) -> web.StreamResponse:
+        conduct = self.conduct
+        said = ingress.read_request(request.headers)
+        self.runs.append(
+            Run(said.id, request.raw_path, body, dict(request.headers))
+        )
+        if conduct.silent:
+            await asyncio.sleep(3600)
+        await asyncio.sleep(conduct.work_s * self._measure_part(said.thing))
+        number = len(self.runs)
+        is_bad = conduct.fail_every and number % conduct.fail_every == 0
+        headers: dict[str, Any] = {
+            names.REQUEST_ID: "crossed" if conduct.crossed else said.id,
+            names.LOAD: f"{self._running},{self._waiting},{self.slots}",
+        }
+        if not conduct.unsigned:
+            headers[names.SIGNATURE] = f"{self.identity}.{number}"
+        if conduct.cut_short:
+            response = web.StreamResponse(headers=headers)
+            response.content_length = 1000
+            await response.prepare(request)
+            await response.write(b"half")
+            assert request.transport is not None
+            request.transport.close()
+            return response
+        return web.Response(
+            status=500 if is_bad else 200,
+            headers=headers,
+            body=f"{self.identity} ran {said.id}".encode(),
+        )
+
+    def _measure_part(self, thing: str) -> float:
+        if not thing:
+            return self.conduct.warm_part
+        is_known = thing in self._known
+        self._known[thing] = None
+        self._known.move_to_end(thing)
+        if len(self._known) > KEPT_OBJECTS:
+            self._known.popitem(last=False)
+        return self.conduct.warm_part if is_known else 1.0
--- /dev/null
+++ b/src/cowslipshift/standins/platformfleet.py
@@ -0,0 +1,306 @@
+"""A small deployment on a platform, all in one event loop."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+from typing import Any
+
+import aiohttp
+from aiohttp import web
+import msgspec
+import yarl
+
+from cowslipshift import clock as clocks
+from cowslipshift.edge import service as edge_service
+from cowslipshift.platform import names
+from cowslipshift.platform import settings as platform_settings
+from cowslipshift.standins import platformbackend
+from cowslipshift.standins import platformstore
+
+HOSTNAME = "tills.example"
+KEY = "key-of-workshop"
+ACCOUNT = "workshop"
+READ_PATH = "/sheets/"
+WRITE_PATH = "/orders/"
+READ_SERVICE = "sheets"
+WRITE_SERVICE = "orders"
+PLACES = {"north-a": "north", "south-a": "south"}
+POLL_S = 0.02
+WAIT_S = 10.0
+
+
+def build_config(version: int = 1, **changes: Any) -> bytes:
+    """Return a configuration as operators write it.
+
+    Args:
+        version: Its version.
+        changes: Fields that replace those of the configuration.
+    """
+    common = {
+        "priority": 1,
+        "attempts": 2,
+        "public": False,
+        "session_affinity": True,
+        "allowed_regions": [],
+        "target_latency_ms": 300,
+        "timeout_ms": 800,
+    }
+    config: dict[str, Any] = {
+        "version": f"{version:08x}",
+        "base_version": "00000000",
+        "services": [
+            {
+                "name": name,
+                "health_path": "/health",
+                "max_connections": 100,
+                "cold_start_s": 1.0,
+                "cold_per_s": 4.0,
+            }
+            for name in (READ_SERVICE, WRITE_SERVICE)
+        ],
+        "limits": {
+            "max_header_bytes": 16384,
+            "max_body_bytes": 1_000_000,
+            "header_timeout_ms": 3000,
+            "idle_timeout_ms": 15000,
+        },
+        "tenants": [
+            {
+                "name": ACCOUNT,
+                "api_keys": [KEY],
+                "priority": 1,
+                "rate_per_s": 1000,
+                "burst": 1000,
+                "allowed_regions": [],
+            }
+        ],
+        "virtual_hosts": [
+            {
+                "hostname": HOSTNAME,
+                "paths": [
+                    {
+                        "name": "read",
+                        "prefix": READ_PATH,
+                        "type": "idempotent",
+                        "service": READ_SERVICE,
+                        **common,
+                    },
+                    {
+                        "name": "write",
+                        "prefix": WRITE_PATH,
+                        "type": "non_idempotent",
+                        "service": WRITE_SERVICE,
+                        **common,
+                    },
+                ],
+            }
+        ],
+    }
+    return msgspec.json.encode({**config, **changes})
+
+
+class PlatformFleet:
+    """A store, backend servers and hosts.
+
+    Args:
+        hosts: Hosts in each data centre.
+        backends: Backend servers of each service in each data centre.
+    """
+
+    def __init__(self, hosts: int = 1, backends: int = 2) -> None:
+        self._clock = clocks.SystemClock()
+        self.store = platformstore.PlatformStoreStandIn(self._clock)
+        self.backends: dict[str, platformbackend.PlatformBackendStandIn] = {}
+        self.hosts: list[edge_service.EdgeService] = []
+        self.addresses: dict[str, str] = {}
+        self.entries: dict[str, tuple[str, str]] = {}
+        self._counts = (hosts, backends)
+        self._runners: list[web.AppRunner] = []
+        self._leases: asyncio.Task[None] | None = None
+        self.session = aiohttp.ClientSession()
+
+    async def __aenter__(self) -> PlatformFleet:
+        """Start everything and wait until the hosts are ready."""
+        self._leases = asyncio.create_task(self.store.run_leases())
+        hosts, backends = self._counts
+        self.store.put(names.CONFIG_KEY, build_config())
+        for data_centre in PLACES:
+            for service in (READ_SERVICE, WRITE_SERVICE):
+                for _ in range(backends):
+                    await self.add_backend(service, data_centre)
+            for _ in range(hosts):
+                await self.add_host(data_centre)
+        await self.wait_ready()
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        """Stop everything."""
+        for host in list(self.hosts):
+            await self.kill_host(host)
+        if self._leases is not None:
+            self._leases.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await self._leases
+        await self.session.close()
+        for runner in self._runners:
+            await runner.cleanup()
+
+    async def add_backend(
+        self, service: str, data_centre: str, version: str = "v1"
+    ) -> platformbackend.PlatformBackendStandIn:
+        """Start a backend server and let it register itself."""
+        identity = f"{service}-{len(self.backends) + 1}"
+        backend = platformbackend.PlatformBackendStandIn(identity, slots=3)
+        application = web.Application()
+        application.router.add_route("*", "/{path:.*}", backend.handle)
+        address = await self._serve(application)
+        self.backends[identity] = backend
+        self.addresses[identity] = address
+        self.entries[identity] = (service, data_centre)
+        self.store.put(
+            names.BACKEND_PREFIX + identity,
+            backend.build_entry(address, service, data_centre, version),
+        )
+        return backend
+
+    def write_entry(
+        self, identity: str, state: str, version: str = "v1"
+    ) -> None:
+        """Let a backend server report another state."""
+        service, data_centre = self.entries[identity]
+        self.store.put(
+            names.BACKEND_PREFIX + identity,
+            self.backends[identity].build_entry(
+                self.addresses[identity], service, data_centre, version, state
+            ),
+        )
+
+    async def add_host(self, data_centre: str) -> edge_service.EdgeService:
+        """Start a host, with a port of the store to itself."""
+        store_address = await self._serve(self.store.build_application())
+        ports = find_ports(5)
+        settings = platform_settings.HostSettings(
+            node_name=f"host-{len(self.hosts) + 1}",
+            ip="127.0.0.1",
+            zone=data_centre,
+            region=PLACES[data_centre],
+            internal_ports=(ports[0], ports[0]),
+            zones=PLACES,
+            listen=platform_settings.Listen(
+                *(f"127.0.0.1:{port}" for port in ports[2:])
+            ),
+            platform=platform_settings.StoreAddress(store_address),
+            bootstrap=True,
+        )
+        host = edge_service.EdgeService(
+            settings=settings,
+            bounds=platform_settings.Bounds(grace_s=2.0),
+        )
+        await host.start()
+        self.hosts.append(host)
+        return host
+
+    def turn_away(self, host: edge_service.EdgeService) -> None:
+        """Let the store refuse one host and serve the others."""
+        port = int(host.settings.platform.address.rpartition(":")[2])
+        self.store.faults.refused = (port,)
+
+    async def kill_host(self, host: edge_service.EdgeService) -> None:
+        """End a host at once, without a word to anybody."""
+        self.hosts.remove(host)
+        await host.abort()
+
+    async def stop_host(self, host: edge_service.EdgeService) -> None:
+        """Stop a host gracefully."""
+        self.hosts.remove(host)
+        await host.stop()
+
+    async def wait_ready(self) -> None:
+        """Wait until all hosts are ready and have heard of each other."""
+        for host in self.hosts:
+            await wait_for(lambda host=host: host.is_settled(len(self.hosts)))
+
+    async def call(
+        self,
+        path: str = READ_PATH + "1",
+        host: int = 0,
+        request_id: str = "r1",
+        method: str = "GET",
+        key: str = KEY,
+        thing: str = "7",
+        deadline_ms: int = 2000,
+        body: bytes | None = None,
+    ) -> tuple[int, bytes, dict[str, str]]:
+        """Send a request as a caller does; return status, body, headers."""
+        front = self.hosts[host].settings.listen.front
+        async with self.session.request(
+            method,
+            yarl.URL(f"http://{front}{path}", encoded=True),
+            headers={
+                "Host": HOSTNAME,
+                names.REQUEST_ID: request_id,
+                names.DEADLINE_MS: str(deadline_ms),
+                names.KEY: key,
+                "Cookie": f"{names.AFFINITY_COOKIE}={thing}",
+            },
+            data=body,
+        ) as response:
+            content = await response.read()
+            return response.status, content, dict(response.headers)
+
+    def list_runs(self, request_id: str) -> list[platformbackend.Run]:
+        """Return all runs of a request, at any backend server."""
+        return [
+            run
+            for backend in self.backends.values()
+            for run in backend.runs
+            if run.id == request_id
+        ]
+
+    async def _serve(self, application: web.Application) -> str:
+        runner = web.AppRunner(
+            application, access_log=None, handler_cancellation=True
+        )
+        await runner.setup()
+        self._runners.append(runner)
+        port = find_ports(1)[0]
+        await web.TCPSite(runner, "127.0.0.1", port).start()
+        return f"127.0.0.1:{port}"
+
+
+def find_ports(count: int) -> list[int]:
+    """Return free ports; the first two follow each other."""
+    while True:
+        sockets = [socket.socket() for _ in range(count)]
+        try:
+            for opened in sockets:
+                opened.bind(("127.0.0.1", 0))
+            ports = [opened.getsockname()[1] for opened in sockets]
+        finally:
+            for opened in sockets:
+                opened.close()
+        if count == 1:
+            return ports
+        follower = socket.socket()
+        try:
+            follower.bind(("127.0.0.1", ports[0] + 1))
+        except OSError:
+            continue
+        finally:
+            follower.close()
+        ports[1] = ports[0] + 1
+        if len(set(ports)) == count:
+            return ports
+
+
+async def wait_for(condition: Any) -> None:
+    """Wait until a condition holds.
+
+    Raises:
+        TimeoutError: It did not within ten seconds.
+    """
+    async with asyncio.timeout(WAIT_S):
+        while not condition():
+            await asyncio.sleep(POLL_S)
--- /dev/null
+++ b/src/cowslipshift/standins/platformstore.py
@@ -0,0 +1,253 @@
+"""A small stand-in for a platform's store: revisions, leases, watches.
+
+It keeps everything in memory and can be told to be down, slow, silent, to
+refuse, to lose the answers of writes that took effect, to answer rubbish or
+to forget its history.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import collections
+from typing import Any
+from typing import TYPE_CHECKING
+
+from aiohttp import web
+import msgspec
+
+from cowslipshift.platform import names
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+
+    from cowslipshift import clock as clocks
+
+PAGE_ITEMS = 50
+LEASE_CHECK_INTERVAL_S = 0.1
+
+
+class Faults(msgspec.Struct):
+    """How the store misbehaves.
+
+    Attributes:
+        status: Status that each call gets instead of an answer; 0 for none.
+        silent: Never answer.
+        delay_s: Wait before each answer.
+        lose_writes: Number of writes whose answer gets lost.
+        rubbish: Answer with something that is no JSON.
+        deaf_watches: Watches hear of nothing.
+        refused: Ports of the store whose callers get 503.
+    """
+
+    status: int = 0
+    silent: bool = False
+    delay_s: float = 0.0
+    lose_writes: int = 0
+    rubbish: bool = False
+    deaf_watches: bool = False
+    refused: tuple[int, ...] = ()
+
+
+class PlatformStoreStandIn:
+    """The items, their history and the handlers of the calls.
+
+    Args:
+        clock: Source of the present time, for leases.
+    """
+
+    def __init__(self, clock: clocks.Clock) -> None:
+        self.faults = Faults()
+        self.calls: collections.Counter[str] = collections.Counter()
+        self.revision = 1
+        self._clock = clock
+        self._items: dict[str, dict[str, Any]] = {}
+        self._history: list[dict[str, Any]] = []
+        self._forgotten = 0
+        self._leases: dict[int, tuple[float, float]] = {}
+        self._changed = asyncio.Event()
+
+    def put(self, key: str, value: bytes, lease: int = 0) -> int:
+        """Write an item as an operator or a backend server does."""
+        self.revision += 1
+        known = self._items.get(key)
+        item = {
+            "key": key,
+            "value": base64.b64encode(value).decode(),
+            "rev": self.revision,
+            "created": known["created"] if known else self.revision,
+            "lease": lease,
+        }
+        self._items[key] = item
+        self._note(item)
+        return self.revision
+
+    def delete(self, key: str) -> None:
+        """Remove an item."""
+        if self._items.pop(key, None) is not None:
+            self.revision += 1
+            self._note({"key": key, "rev": self.revision, "deleted": True})
+
+    def get(self, key: str) -> bytes | None:
+        """Return the value of an item."""
+        item = self._items.get(key)
+        return None if item is None else base64.b64decode(item["value"])
+
+    def forget_history(self) -> None:
+        """Drop the history; watches of it get 410."""
+        self._history.clear()
+        self._forgotten = self.revision
+
+    def build_application(self) -> web.Application:
+        """Return the application that serves the calls."""
+        application = web.Application()
+        router = application.router
+        router.add_get(names.RANGE_PATH, self._guard(self._serve_range))
+        router.add_get(names.WATCH_PATH, self._guard(self._serve_watch))
+        router.add_post(names.TXN_PATH, self._guard(self._serve_txn))
+        router.add_post(names.LEASE_PATH, self._guard(self._serve_lease))
+        router.add_post(
+            names.KEEP_PATH + "/{lease}", self._guard(self._serve_keep)
+        )
+        router.add_delete(
+            names.LEASE_END_PATH + "/{lease}", self._guard(self._serve_end)
+        )
+        return application
+
+    async def run_leases(self) -> None:
+        """End leases that ran out, until cancelled."""
+        while True:
+            now = self._clock.now()
+            for lease, (until_s, _) in list(self._leases.items()):
+                if until_s <= now:
+                    self._end_lease(lease)
+            await asyncio.sleep(LEASE_CHECK_INTERVAL_S)
+
+    def _guard(
+        self, handler: Callable[[web.Request], Awaitable[web.Response]]
+    ) -> Callable[[web.Request], Awaitable[web.Response]]:
+        async def handle(request: web.Request) -> web.Response:
+            self.calls[request.path.split("/")[2]] += 1
+            faults = self.faults
+            if faults.silent:
+                await asyncio.sleep(3600)
+            if faults.delay_s:
+                await asyncio.sleep(faults.delay_s)
+            if faults.status or _find_port(request) in faults.refused:
+                return web.Response(status=faults.status or 503)
+            if faults.rubbish:
+                return web.Response(body=b"<html>")
+            response = await handler(request)
+            if faults.lose_writes and request.method == "POST":
+                faults.lose_writes -= 1
+                if request.transport is not None:
+                    request.transport.close()
+            return response
+
+        return handle
+
+    async def _serve_range(self, request: web.Request) -> web.Response:
+        prefix = request.query["prefix"]
+        after = request.query.get("after", "")
+        keys = sorted(k for k in self._items if k.startswith(prefix))
+        rest = [key for key in keys if key > after]
+        return web.json_response(
+            {
+                "items": [self._items[key] for key in rest[:PAGE_ITEMS]],
+                "has_more": len(rest) > PAGE_ITEMS,
+                "store_revision": self.revision,
+            }
+        )
+
+    async def _serve_watch(self, request: web.Request) -> web.Response:
+        prefix = request.query["prefix"]
+        after = int(request.query["after"])
+        loop = asyncio.get_running_loop()
+        until_s = loop.time() + int(request.query["wait_ms"]) / 1000.0
+        while True:
+            if after < self._forgotten:
+                return web.Response(status=410)
+            events = [
+                event
+                for event in self._history
+                if event["rev"] > after and event["key"].startswith(prefix)
+            ]
+            left_s = until_s - loop.time()
+            is_deaf = self.faults.deaf_watches
+            if (events and not is_deaf) or left_s <= 0:
+                return web.json_response(
+                    {
+                        "events": [] if is_deaf else events,
+                        "store_revision": after if is_deaf else self.revision,
+                    }
+                )
+            try:
+                async with asyncio.timeout(left_s):
+                    await self._changed.wait()
+            except TimeoutError:
+                continue
+
+    async def _serve_txn(self, request: web.Request) -> web.Response:
+        body = await request.json()
+        for row in body.get("expected", []):
+            known = self._items.get(row["key"])
+            if (known["rev"] if known else 0) != row["rev"]:
+                return web.json_response({"items": []}, status=412)
+        for row in body.get("writes", []):
+            if row["key"].startswith(("op/", "servers/")):
+                return web.Response(status=403)
+            lease = row.get("lease", 0)
+            if lease and lease not in self._leases:
+                return web.Response(status=404)
+        for row in body.get("writes", []):
+            self.put(
+                row["key"],
+                base64.b64decode(row["value"]),
+                row.get("lease", 0),
+            )
+        for key in body.get("deletes", []):
+            self.delete(key)
+        return web.json_response({"rev": self.revision})
+
+    async def _serve_lease(self, request: web.Request) -> web.Response:
+        ttl_ms = (await request.json())["ttl_ms"]
+        lease = self.revision * 1000 + len(self._leases) + 1
+        self._leases[lease] = (
+            self._clock.now() + ttl_ms / 1000.0,
+            ttl_ms / 1000.0,
+        )
+        return web.json_response({"lease": lease, "ttl_ms": ttl_ms})
+
+    async def _serve_keep(self, request: web.Request) -> web.Response:
+        lease = int(request.match_info["lease"])
+        if lease not in self._leases:
+            return web.Response(status=404)
+        ttl_s = self._leases[lease][1]
+        self._leases[lease] = (self._clock.now() + ttl_s, ttl_s)
+        return web.json_response({"ttl_ms": int(ttl_s * 1000)})
+
+    async def _serve_end(self, request: web.Request) -> web.Response:
+        lease = int(request.match_info["lease"])
+        if lease not in self._leases:
+            return web.Response(status=404)
+        self._end_lease(lease)
+        return web.json_response({})
+
+    def _end_lease(self, lease: int) -> None:
+        del self._leases[lease]
+        for key, item in list(self._items.items()):
+            if item["lease"] == lease:
+                self.delete(key)
+
+    def _note(self, event: dict[str, Any]) -> None:
+        self._history.append(event)
+        changed, self._changed = self._changed, asyncio.Event()
+        changed.set()
+
+
+def _find_port(request: web.Request) -> int:
+    if request.transport is None:
+        return 0
+    port: int = request.transport.get_extra_info("sockname")[1]
+    return port
--- a/src/cowslipshift/steering/accounts.py
+++ b/src/cowslipshift/steering/accounts.py
@@ -22,21 +22,27 @@
 
     from cowslipshift.steering import model
 
-FREE_PART = 0.7
+FREE_PART = 0.75
 """Part of the limit below which nothing is refused."""
 
 SPARE_PART = 0.5
 """Part of the tolerated excess that is given to callers; the rest covers
 what hosts have not yet heard of each other."""
 
-EVEN_PART = 0.2
+EVEN_PART = 0.3
 """Part of the room that is shared evenly, whatever the demand."""
 
 SLOT_S = 0.25
 DEMAND_WINDOW_S = 1.0
-SILENT_AFTER_S = 4.0
-"""How long a silent host keeps its part of the room: it may be cut off and
-admit on."""
+DUE_AFTER_S = 0.5
+"""Silence after which a host is taken to admit on at its last pace."""
+
+SILENT_AFTER_S = 1.2
+"""Silence after which a host is taken to use its even part at least."""
+
+RESERVED_FOR_S = 12.0
+"""How long a silent host's part stays reserved: it may be cut off and admit
+on. Afterwards it is taken to be gone."""
 
 FIRST_PART = 0.5
 """Part of the limit that a restarted host grants at first: what its
@@ -44,8 +50,11 @@
 
 MIN_RETRY_AFTER_S = 0.2
 MAX_RETRY_AFTER_S = 2.0
-URGENT_PART = 0.04
-"""Part of the limit that a host admits at most before the others hear."""
+FILLING_PART = 0.4
+"""Part of the limit from which the others are to hear of it at once."""
+
+URGENT_PART = 0.08
+"""Part of the limit that all hosts may admit before they hear of it."""
 
 
 class Usage(msgspec.Struct, frozen=True):
@@ -62,6 +71,20 @@
     demand: float
 
 
+class Silence(msgspec.Struct, frozen=True):
+    """Which of the other hosts were not heard lately.
+
+    Attributes:
+        hosts: Hosts that may admit requests, the own one included.
+        names: Those that are silent.
+        late: Seconds that a word of others, not yet silent, is overdue.
+    """
+
+    hosts: int = 1
+    names: frozenset[str] = frozenset()
+    late: dict[str, float] = {}
+
+
 class Terms(msgspec.Struct, frozen=True):
     """How operators count the limits of accounts.
 
@@ -125,7 +148,7 @@
     __slots__ = (
         "_demand",
         "_demand_s",
-        "_grant",
+        "_is_filling",
         "_limit",
         "_own",
         "_peers",
@@ -148,10 +171,10 @@
         self._window_s = terms.window_s
         self._started_s = now if is_restart else -math.inf
         self._own = _Window(terms.window_s)
-        self._peers: dict[str, _Peer] = {}
+        self._peers: dict[str, Usage] = {}
         self._demand = 0.0
         self._demand_s = now
-        self._grant = 0.0
+        self._is_filling = False
         self._spent = 0
         self._limit = 0.0
         self.set_terms(account)
@@ -164,12 +187,12 @@
             spare = paid * self._terms.overshoot + self._terms.slack
             self._limit = paid + SPARE_PART * spare
 
-    def try_admit(self, now: float, hosts: int) -> float:
+    def try_admit(self, now: float, silence: Silence) -> float:
         """Admit a request if the account has room.
 
         Args:
             now: Present time.
-            hosts: Hosts that may admit requests, this one included.
+            silence: Which hosts were not heard lately.
 
         Returns:
             0 when it is admitted, else seconds until there is room.
@@ -177,30 +200,31 @@
         self._note_demand(now)
         if self._limit > 0.0:
             limit = self.measure_limit(now)
-            used = self.measure_used(now)
-            if used >= FREE_PART * limit and self._spent + 1 > self._grant:
-                pace = self.measure_share(now, hosts) * limit
-                return _clamp(self._window_s / max(pace, 0.01))
+            used = self.measure_used(now, silence)
+            share = self._measure_share(now, silence)
+            # What it admitted since its last word is in the count already.
+            part = share * (limit - used + self._spent)
+            if used >= FREE_PART * limit and self._spent + 1 > part:
+                return _clamp(self._window_s / max(share * limit, 0.01))
+            self._is_filling = used >= FILLING_PART * limit
         self._own.add(now)
         self._spent += 1
         return 0.0
 
-    def measure_share(self, now: float, hosts: int) -> float:
-        """Return this host's part of the room, from 0 to 1."""
+    def _measure_share(self, now: float, silence: Silence) -> float:
         own = self._measure_demand(now)
-        total = own + sum(peer.demand for peer in self._peers.values())
-        count = max(1, hosts, len(self._peers) + 1)
-        by_demand = own / total if total > 0.0 else 1.0 / count
-        return EVEN_PART / count + (1.0 - EVEN_PART) * by_demand
+        heard = max(1, silence.hosts - len(silence.names))
+        total = own + sum(
+            usage.demand
+            for name, usage in self._peers.items()
+            if name not in silence.names
+        )
+        by_demand = own / total if total > 0.0 else 1.0 / heard
+        return EVEN_PART / heard + (1.0 - EVEN_PART) * by_demand
 
-    def report(self, now: float, hosts: int) -> Usage:
+    def report(self, now: float) -> Usage:
         """Return what the others are to know, and begin another round."""
         admitted = self._own.measure(now)
-        if self._limit > 0.0:
-            room = self.measure_limit(now) - self.measure_used(now)
-            unspent = min(1.0, max(0.0, self._grant - self._spent))
-            share = self.measure_share(now, hosts)
-            self._grant = unspent + max(0.0, share * room)
         self._spent = 0
         return Usage(self.name, admitted, self._measure_demand(now))
 
@@ -208,20 +232,17 @@
         """Tell whether there is nothing to report."""
         return self._own.measure(now) == 0 and self._measure_demand(now) < 0.1
 
-    def note_peer(self, host: str, usage: Usage, now: float) -> None:
-        """Take what another process of the system admitted."""
-        self._peers[host] = _Peer(usage, now)
+    def note_peer(self, host: str, usage: Usage | None) -> None:
+        """Take what another host admitted; ``None`` for nothing."""
+        if usage is None:
+            self._peers.pop(host, None)
+        else:
+            self._peers[host] = usage
 
-    def is_urgent(self) -> bool:
+    def is_urgent(self, hosts: int) -> bool:
         """Tell whether the others should hear of this account at once."""
-        return self._limit > 0.0 and self._spent > max(
-            3.0, URGENT_PART * self._limit
-        )
-
-    def measure_age(self, now: float) -> float:
-        """Return the age in seconds of the oldest count of another host."""
-        oldest_s = min((p.heard_s for p in self._peers.values()), default=now)
-        return now - oldest_s
+        unsaid = self._spent * max(1, hosts)
+        return self._is_filling and unsaid > URGENT_PART * self._limit
 
     def measure_limit(self, now: float) -> float:
         """Return the requests allowed in a window."""
@@ -230,21 +251,21 @@
             return self._limit
         return self._limit * (FIRST_PART + (1.0 - FIRST_PART) * age)
 
-    def measure_used(self, now: float) -> float:
-        """Return the requests that all hosts admitted in the window."""
+    def measure_used(self, now: float, silence: Silence) -> float:
+        """Return the requests that all hosts admitted in the window.
+
+        A silent host may be cut off and go on admitting. It is taken to use
+        what it last told, or its even part if that is more.
+        """
         used = float(self._own.measure(now))
-        for name, peer in list(self._peers.items()):
-            silent_s = now - peer.heard_s
-            if silent_s > max(SILENT_AFTER_S, self._window_s):
-                del self._peers[name]
-                continue
-            # A silent host's admissions leave the window as time passes;
-            # one that is cut off goes on admitting, so they count in full
-            # for as long as it may be.
-            if silent_s < SILENT_AFTER_S:
-                used += peer.admitted
-            else:
-                used += peer.admitted * (1.0 - silent_s / self._window_s)
+        for name, usage in self._peers.items():
+            if name not in silence.names:
+                overdue_s = silence.late.get(name, 0.0)
+                used += usage.admitted + usage.demand * overdue_s
+        even = self.measure_limit(now) / max(1, silence.hosts)
+        for name in silence.names:
+            told = self._peers.get(name)
+            used += max(even, told.admitted if told is not None else 0)
         return used
 
     def _note_demand(self, now: float) -> None:
@@ -262,12 +283,15 @@
     Args:
         terms: How limits are counted.
         is_restart: Whether accounts were in use before this host started.
+        now: Present time.
     """
 
-    __slots__ = ("_is_restart", "_meters", "_terms")
+    __slots__ = ("_heard_s", "_is_restart", "_meters", "_started_s", "_terms")
 
-    def __init__(self, terms: Terms, is_restart: bool) -> None:
+    def __init__(self, terms: Terms, is_restart: bool, now: float) -> None:
         self._terms = terms
+        self._started_s = now
+        self._heard_s: dict[str, float] = {}
         self._is_restart = is_restart
         self._meters: dict[str, AccountMeter] = {}
 
@@ -286,10 +310,10 @@
         """Return the meter of an account."""
         return self._meters.get(account)
 
-    def list_reports(self, now: float, hosts: int) -> list[Usage]:
+    def list_reports(self, now: float) -> list[Usage]:
         """Return what the others are to know, of accounts in use."""
         return [
-            meter.report(now, hosts)
+            meter.report(now)
             for meter in self._meters.values()
             if not meter.is_idle(now)
         ]
@@ -297,17 +321,39 @@
     def note_reports(
         self, host: str, reports: Iterable[Usage], now: float
     ) -> None:
-        """Take another process's reports.
+        """Take what another host admitted, of all accounts that it uses."""
+        self._heard_s[host] = now
+        told = {usage.account: usage for usage in reports}
+        for name, meter in self._meters.items():
+            meter.note_peer(host, told.get(name))
+
+    def find_silence(
+        self, now: float, announced: set[str], stretch: float = 1.0
+    ) -> Silence:
+        """Return which hosts were not heard lately.
 
         Args:
-            host: Name and incarnation of the process.
-            reports: What it admitted.
             now: Present time.
+            announced: The other hosts; those no longer announced count on
+                for a while, for they may be cut off.
+            stretch: How much less often hosts speak, for there are many.
         """
-        for usage in reports:
-            meter = self._meters.get(usage.account)
-            if meter is not None:
-                meter.note_peer(host, usage, now)
+        for host, heard_s in list(self._heard_s.items()):
+            if host not in announced and now - heard_s > RESERVED_FOR_S:
+                del self._heard_s[host]
+                for meter in self._meters.values():
+                    meter.note_peer(host, None)
+        hosts = announced | self._heard_s.keys()
+        late = {}
+        names = set()
+        for host in hosts:
+            age_s = now - self._heard_s.get(host, self._started_s)
+            age_s /= stretch
+            if SILENT_AFTER_S < age_s <= RESERVED_FOR_S:
+                names.add(host)
+            elif DUE_AFTER_S < age_s <= SILENT_AFTER_S:
+                late[host] = age_s - DUE_AFTER_S
+        return Silence(len(hosts) + 1, frozenset(names), late)
 
 
 def _clamp(seconds: float) -> float:
--- a/src/cowslipshift/steering/desk.py
+++ b/src/cowslipshift/steering/desk.py
@@ -289,6 +289,13 @@
         name = self.plan.accounts_by_key.get(key)
         return None if name is None else self.plan.accounts.get(name)
 
+    def find_silence(self, now: float) -> accounts.Silence:
+        """Return which hosts were not heard lately."""
+        announced = {member.name for member in self.presence.list_peers()}
+        return self.accounts.find_silence(
+            now, announced, self.presence.get_stretch()
+        )
+
     def open_call(
         self,
         request_id: str,
--- a/src/cowslipshift/steering/model.py
+++ b/src/cowslipshift/steering/model.py
@@ -149,7 +149,8 @@
 
     Attributes:
         front: Address for callers, ``ip:port``.
-        internal: Address for other hosts, ``ip:port``.
+        internal: Address at which other hosts ask, ``ip:port``.
+        words: Address at which it hears other hosts, ``ip:port``.
         incarnation: Unix milliseconds of its start.
     """
 
@@ -158,4 +159,5 @@
     region: str
     front: str
     internal: str
+    words: str
     incarnation: int
--- a/src/cowslipshift/steering/presence.py
+++ b/src/cowslipshift/steering/presence.py
@@ -63,8 +63,11 @@
 
     def get_interval(self) -> float:
         """Return seconds between two words of a host."""
-        crowd = max(1.0, len(self._members) / HOSTS_AT_BASE)
-        return BASE_INTERVAL_S * crowd
+        return BASE_INTERVAL_S * self.get_stretch()
+
+    def get_stretch(self) -> float:
+        """Return how much less often hosts speak, for there are many."""
+        return max(1.0, len(self._members) / HOSTS_AT_BASE)
 
     def count_hosts(self) -> int:
         """Return the number of announced hosts, this one included."""
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -14,6 +14,11 @@
 from cowslipshift.config import model
 from cowslipshift.serving import idempotency
 from cowslipshift.standins import shapes
+from cowslipshift.steering import accounts as account_desks
+from cowslipshift.steering import changes
+from cowslipshift.steering import desk as desks
+from cowslipshift.steering import model as steering
+from cowslipshift.steering import presence as presences
 
 if TYPE_CHECKING:
     from cowslipshift.standins import localfleet
@@ -131,3 +136,117 @@
 def make_key(home: str = "") -> str:
     """Make an idempotency key."""
     return idempotency.make_key(home)
+
+
+def build_route(**fields: Any) -> steering.Route:
+    """Build a route of a platform's plan, with some fields replaced."""
+    base = steering.Route(
+        name="read",
+        hostname="tills.example",
+        prefix="/sheets/",
+        parts=(steering.Part("sheets", 1.0),),
+        is_idempotent=True,
+        timeout_s=1.0,
+        target_s=0.4,
+        attempts=2,
+        rank=1,
+        is_public=False,
+        has_affinity=True,
+    )
+    return msgspec.structs.replace(base, **fields)
+
+
+def build_plan(*routes: steering.Route, **fields: Any) -> steering.Plan:
+    """Build a platform's plan of one account."""
+    listed = routes or (build_route(),)
+    base = steering.Plan(
+        version=1,
+        routes=listed,
+        services={
+            part.service: steering.Service(part.service, 100, 3.0, 4.5)
+            for route in listed
+            for part in route.parts
+        },
+        accounts={ACCOUNT: steering.Account(ACCOUNT, 1, 100.0, 100.0)},
+        accounts_by_key={"key": ACCOUNT},
+        limits=steering.Limits(),
+    )
+    return msgspec.structs.replace(base, **fields)
+
+
+def build_backend(identity: str, **fields: Any) -> steering.Backend:
+    """Build the entry of a backend server on a platform."""
+    base = steering.Backend(
+        id=identity,
+        service="sheets",
+        address="10.0.0.1:80",
+        data_centre="north-a",
+        version="v1",
+        slots=5,
+        is_draining=False,
+        cold_s=0.0,
+        started_ms=1,
+    )
+    return msgspec.structs.replace(base, **fields)
+
+
+def build_member(name: str, region: str = "north") -> steering.Member:
+    """Build the announcement of a host on a platform."""
+    return steering.Member(
+        name=name,
+        data_centre=f"{region}-a",
+        region=region,
+        front=f"{name}:80",
+        internal=f"{name}:81",
+        words=f"{name}:82",
+        incarnation=1,
+    )
+
+
+REGIONS = {"north-a": "north", "south-a": "south", "west-a": "west"}
+
+
+def build_desk(
+    name: str = "h1",
+    region: str = "north",
+    backends: tuple[steering.Backend, ...] = (),
+    plan: steering.Plan | None = None,
+    now: float = 0.0,
+    peers: tuple[str, ...] = (),
+) -> desks.Desk:
+    """Build the decisions of one host, with what it has been told."""
+    presence = presences.Presence(build_member(name, region))
+    desk = desks.Desk(
+        presence,
+        REGIONS,
+        0.2,
+        60.0,
+        10.0,
+        account_desks.AccountDesk(
+            account_desks.Terms(5.0, 0.1, 20.0), False, now
+        ),
+    )
+    for peer in peers:
+        desk.apply(changes.MemberChange(peer, build_member(peer)), now)
+        presence.note_heard(peer, 1, False, now)
+    desk.apply(changes.PlanChange(plan or build_plan()), now)
+    for backend in backends:
+        desk.apply(changes.BackendChange(backend.id, backend), now)
+    return desk
+
+
+def open_call(
+    desk: desks.Desk, thing: str = "x", now: float = 0.0, **fields: Any
+) -> desks.Call:
+    """Begin a request at a desk."""
+    assert desk.plan is not None
+    route = desk.plan.routes[fields.pop("route", 0)]
+    call = desk.open_call(
+        fields.pop("id", "r1"),
+        route,
+        fields.pop("account", desk.plan.accounts[ACCOUNT]),
+        thing,
+        now + fields.pop("left_s", 1.0),
+        now,
+    )
+    return msgspec.structs.replace(call, **fields)
--- /dev/null
+++ b/tests/edge/test_platform_path.py
@@ -0,0 +1,267 @@
+"""The whole path on a platform: real hosts, stand-ins for all else."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import msgspec
+import pytest
+
+from cowslipshift.platform import names
+from cowslipshift.standins import platformfleet
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+READ = platformfleet.READ_PATH
+WRITE = platformfleet.WRITE_PATH
+
+
+@pytest.fixture
+async def fleet() -> AsyncIterator[platformfleet.PlatformFleet]:
+    async with platformfleet.PlatformFleet() as started:
+        yield started
+
+
+async def test_request_reaches_a_named_backend_unchanged(fleet) -> None:
+    status, body, headers = await fleet.call(
+        READ + "a%20b//c?x=%2F&y", request_id="odd"
+    )
+    assert status == 200
+    (run,) = fleet.list_runs("odd")
+    assert run.path == READ + "a%20b//c?x=%2F&y"
+    assert run.headers[names.ACCOUNT] == platformfleet.ACCOUNT
+    assert names.KEY not in run.headers
+    assert 0 < int(run.headers[names.DEADLINE_MS]) <= 800
+    assert body.endswith(b"ran odd")
+    assert names.SIGNATURE in headers
+
+
+async def test_body_arrives_whole(fleet) -> None:
+    body = bytes(range(256)) * 100
+    status, _, _ = await fleet.call(
+        WRITE + "1", method="POST", body=body, request_id="big"
+    )
+    assert status == 200
+    assert [run.body for run in fleet.list_runs("big")] == [body]
+
+
+async def test_unknown_route_key_and_forged_account(fleet) -> None:
+    assert (await fleet.call("/nowhere/1"))[0] == 404
+    assert (await fleet.call(key="stolen"))[0] == 401
+    assert (await fleet.call(key=""))[0] == 401
+    assert sum(len(b.runs) for b in fleet.backends.values()) == 0
+
+
+async def test_one_object_goes_to_one_backend(fleet) -> None:
+    for number in range(12):
+        status, _, _ = await fleet.call(request_id=f"n{number}", thing="x")
+        assert status == 200
+    used = [b for b in fleet.backends.values() if b.runs]
+    assert len(used) == 1
+
+
+async def test_shed_request_is_tried_elsewhere_once(fleet) -> None:
+    await fleet.call(request_id="first", thing="x")
+    (first,) = [b for b in fleet.backends.values() if b.runs]
+    first.conduct.shed = True
+    status, body, _ = await fleet.call(request_id="second", thing="x")
+    assert status == 200
+    assert first.identity.encode() not in body
+
+
+async def test_all_shed_means_not_run_with_a_time_to_return(fleet) -> None:
+    for backend in fleet.backends.values():
+        backend.conduct.shed = True
+    status, _, headers = await fleet.call(
+        WRITE + "1", method="POST", body=b"x", request_id="w"
+    )
+    assert status == 503
+    assert 0 < float(headers["Retry-After"]) <= 2.0
+    assert fleet.list_runs("w") == []
+
+
+@pytest.mark.parametrize("fault", ["cut_short", "crossed", "unsigned"])
+async def test_spoilt_answer_is_never_passed_on(fleet, fault) -> None:
+    for backend in fleet.backends.values():
+        setattr(backend.conduct, fault, True)
+    status, body, headers = await fleet.call(
+        WRITE + "1", method="POST", body=b"x", request_id="w"
+    )
+    assert status == 502
+    assert names.SIGNATURE not in headers
+    assert b"half" not in body
+    assert len(fleet.list_runs("w")) == 1
+
+
+async def test_silent_backend_ends_at_the_route_timeout(fleet) -> None:
+    for backend in fleet.backends.values():
+        backend.conduct.silent = True
+    loop = asyncio.get_running_loop()
+    started_s = loop.time()
+    status, _, _ = await fleet.call(
+        WRITE + "1", method="POST", body=b"x", request_id="w"
+    )
+    assert status == 504
+    assert loop.time() - started_s < 1.3
+    assert len(fleet.list_runs("w")) == 1
+
+
+async def test_caller_that_leaves_frees_the_backend(fleet) -> None:
+    for backend in fleet.backends.values():
+        backend.conduct.silent = True
+    with pytest.raises(TimeoutError):
+        async with asyncio.timeout(0.2):
+            await fleet.call(request_id="gone")
+    await platformfleet.wait_for(
+        lambda: sum(b.broken_off for b in fleet.backends.values()) == 1
+    )
+
+
+async def test_draining_and_vanished_backends_get_nothing_new(fleet) -> None:
+    await fleet.call(request_id="first", thing="x")
+    (first,) = [b for b in fleet.backends.values() if b.runs]
+    fleet.write_entry(first.identity, "draining")
+    await platformfleet.wait_for(
+        lambda: fleet.hosts[0].desk.backends[first.identity].leaves
+    )
+    _, body, _ = await fleet.call(request_id="second", thing="x")
+    assert first.identity.encode() not in body
+    second = body.split()[0].decode()
+    fleet.store.delete(names.BACKEND_PREFIX + second)
+    await platformfleet.wait_for(
+        lambda: second not in fleet.hosts[0].desk.backends
+    )
+    _, body, _ = await fleet.call(request_id="third", thing="x")
+    assert second.encode() not in body
+
+
+async def test_evacuated_data_centre_gets_nothing(fleet) -> None:
+    fleet.store.put(names.EVACUATION_PREFIX + "north-a", b"{}")
+    for host in fleet.hosts:
+        await platformfleet.wait_for(lambda host=host: host.desk.evacuated)
+    for number in range(20):
+        status, _, _ = await fleet.call(
+            request_id=f"n{number}", thing=str(number)
+        )
+        assert status == 200
+    for identity, (_, centre) in fleet.entries.items():
+        if centre == "north-a":
+            assert fleet.backends[identity].runs == []
+
+
+async def test_forged_entries_leave_the_others_alone(fleet) -> None:
+    for number, value in enumerate(
+        (
+            b"",
+            b"\xff\xfe",
+            b"[]",
+            b'{"address": 7}',
+            b'{"address":"nowhere","info":{},"status":{}}',
+        )
+    ):
+        fleet.store.put(f"{names.BACKEND_PREFIX}bad-{number}", value)
+    fleet.store.put(names.CONFIG_KEY, b'{"version":"000000')
+    fleet.store.put(names.ROLLOUT_PREFIX + "sheets", b"no")
+    revision = fleet.store.revision
+    host = fleet.hosts[0]
+    await platformfleet.wait_for(lambda: host.revision >= revision)
+    assert (await fleet.call())[0] == 200
+    assert len(host.desk.backends) == len(fleet.backends)
+
+
+async def test_new_configuration_reaches_every_host(fleet) -> None:
+    config = msgspec.json.decode(platformfleet.build_config(2))
+    config["tenants"][0]["api_keys"] = ["another"]
+    fleet.store.put(names.CONFIG_KEY, msgspec.json.encode(config))
+    for host in fleet.hosts:
+        await platformfleet.wait_for(
+            lambda host=host: host.desk.plan.version == 2
+        )
+    for number in range(len(fleet.hosts)):
+        assert (await fleet.call(host=number))[0] == 401
+        assert (await fleet.call(host=number, key="another"))[0] == 200
+
+
+async def test_lookup_names_hosts_of_the_region_and_ready_is_told(
+    fleet,
+) -> None:
+    listen = fleet.hosts[0].settings.listen
+    async with fleet.session.get(
+        f"http://{listen.directory}{names.RESOLVE_PATH}",
+        params={"name": "x", "region": "south", "zone": "south-a"},
+    ) as response:
+        found = await response.json()
+    assert found["addresses"] == [fleet.hosts[1].settings.listen.front]
+    assert 0 < found["ttl_s"] <= 5
+    async with fleet.session.get(
+        f"http://{listen.ready}{names.READY_PATH}"
+    ) as response:
+        assert response.status == 200
+
+
+async def test_host_turned_away_by_the_store_learns_from_another(
+    fleet,
+) -> None:
+    host = fleet.hosts[1]
+    fleet.turn_away(host)
+    (identity, _) = next(iter(fleet.entries.items()))
+    fleet.write_entry(identity, "draining")
+    await platformfleet.wait_for(lambda: host.desk.backends[identity].leaves)
+
+
+async def test_graceful_stop_loses_no_request(fleet) -> None:
+    for backend in fleet.backends.values():
+        backend.conduct.work_s = 0.5
+        backend.conduct.warm_part = 1.0
+    running = [
+        asyncio.create_task(
+            fleet.call(
+                request_id=f"s{n}",
+                thing=str(n),
+                method="POST",
+                path=WRITE + "1",
+                body=b"x",
+            )
+        )
+        for n in range(4)
+    ]
+    await platformfleet.wait_for(
+        lambda: sum(len(b.runs) for b in fleet.backends.values()) == 4
+    )
+    stopping = asyncio.create_task(fleet.stop_host(fleet.hosts[0]))
+    answers = await asyncio.gather(*running)
+    await stopping
+    assert [status for status, _, _ in answers] == [200] * 4
+
+
+async def test_killed_host_is_no_longer_named(fleet) -> None:
+    front = fleet.hosts[1].settings.listen.front
+    await fleet.kill_host(fleet.hosts[1])
+    listen = fleet.hosts[0].settings.listen
+
+    async def is_named() -> bool:
+        async with fleet.session.get(
+            f"http://{listen.directory}{names.RESOLVE_PATH}",
+            params={"name": "x", "region": "south", "zone": "south-a"},
+        ) as response:
+            return front in (await response.json())["addresses"]
+
+    async with asyncio.timeout(6.0):
+        while await is_named():
+            await asyncio.sleep(0.05)
+
+
+async def test_store_that_answers_rubbish_or_nothing_stops_nobody(
+    fleet,
+) -> None:
+    for faults in ({"rubbish": True}, {"status": 503}, {"silent": True}):
+        for name, value in faults.items():
+            setattr(fleet.store.faults, name, value)
+        await asyncio.sleep(0.3)
+        assert (await fleet.call(request_id=str(faults)))[0] == 200
+        fleet.store.faults = type(fleet.store.faults)()
+    fleet.store.put(names.EVACUATION_PREFIX + "south-a", b"{}")
+    host = fleet.hosts[0]
+    await platformfleet.wait_for(lambda: "south-a" in host.desk.evacuated)
--- /dev/null
+++ b/tests/steering/test_accounts.py
@@ -0,0 +1,162 @@
+"""Accounts over many hosts: pattern of demand, then what is admitted."""
+
+from __future__ import annotations
+
+import collections
+import random
+from typing import TYPE_CHECKING
+
+import pytest
+
+from cowslipshift.steering import accounts
+from cowslipshift.steering import model
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+TERMS = accounts.Terms(window_s=5.0, overshoot=0.1, slack=20.0)
+TELL_S = 0.4
+HOSTS = 10
+ALONE = accounts.Silence(1)
+
+
+class Fleet:
+    """Hosts that tell each other what they admitted, in simulated time."""
+
+    def __init__(self, account: model.Account, hosts: int = HOSTS) -> None:
+        self.account = account
+        self.cut: set[int] = set()
+        self.desks = [
+            accounts.AccountDesk(TERMS, False, 0.0) for _ in range(hosts)
+        ]
+        for desk in self.desks:
+            desk.apply([account], 0.0)
+        self.admitted: list[float] = []
+        self.refused: list[float] = []
+        self._told = [random.Random(n).random() * TELL_S for n in range(hosts)]
+
+    def run(
+        self, length_s: float, choose: Callable[[float], list[int]]
+    ) -> None:
+        """Play requests; `choose` lists the hosts that get one, each 10 ms."""
+        for step in range(int(length_s * 100)):
+            now = step / 100
+            for host in choose(now):
+                desk = self.desks[host]
+                meter = desk.find_meter(self.account.name)
+                silence = desk.find_silence(now, self.list_others(host))
+                if meter.try_admit(now, silence) == 0.0:
+                    self.admitted.append(now)
+                else:
+                    self.refused.append(now)
+                if meter.is_urgent(silence.hosts):
+                    self.tell(host, now)
+            for host, told in enumerate(self._told):
+                if now - told >= TELL_S:
+                    self.tell(host, now)
+
+    def list_others(self, host: int) -> set[str]:
+        return {f"h{n}" for n in range(len(self.desks)) if n != host}
+
+    def tell(self, host: int, now: float) -> None:
+        self._told[host] = now
+        reports = self.desks[host].list_reports(now)
+        for other, desk in enumerate(self.desks):
+            is_cut = host in self.cut or other in self.cut
+            if other != host and not is_cut:
+                desk.note_reports(f"h{host}", reports, now)
+
+    def find_most(self) -> int:
+        """Return the most admissions in any window."""
+        most, window = 0, collections.deque()
+        for at in self.admitted:
+            window.append(at)
+            while at - window[0] > TERMS.window_s:
+                window.popleft()
+            most = max(most, len(window))
+        return most
+
+    @property
+    def bound(self) -> float:
+        paid = self.account.rate * TERMS.window_s + self.account.burst
+        return paid * (1 + TERMS.overshoot) + TERMS.slack
+
+
+ACCOUNT = model.Account("a", 1, 60.0, 60.0)
+
+
+def spread(
+    rate: float, hosts: list[int], seed: int
+) -> Callable[[float], list[int]]:
+    draw = random.Random(seed)
+
+    def choose(now: float) -> list[int]:
+        count = sum(draw.random() < rate / 1000 for _ in range(10))
+        return [draw.choice(hosts) for _ in range(count)]
+
+    return choose
+
+
+@pytest.mark.parametrize("hosts", [[0], [0, 1, 2], list(range(HOSTS))])
+def test_account_within_its_rate_is_never_refused(hosts) -> None:
+    fleet = Fleet(ACCOUNT)
+    fleet.run(30.0, spread(55.0, hosts, 1))
+    assert fleet.refused == []
+
+
+def test_callers_that_move_all_at_once_are_not_refused() -> None:
+    fleet = Fleet(ACCOUNT)
+    north = spread(55.0, [0, 1, 2], 2)
+    south = spread(55.0, [7, 8, 9], 3)
+    fleet.run(30.0, lambda now: (north if int(now) % 8 < 4 else south)(now))
+    assert fleet.refused == []
+
+
+@pytest.mark.parametrize("times", [2.0, 7.5])
+@pytest.mark.parametrize("seed", range(4))
+def test_hot_account_is_held_to_its_limit(times, seed) -> None:
+    fleet = Fleet(ACCOUNT)
+    calm = spread(40.0, list(range(HOSTS)), seed)
+    hot = spread(60.0 * times, list(range(HOSTS)), seed + 9)
+    fleet.run(20.0, lambda now: (calm if now < 6 else hot)(now))
+    assert fleet.find_most() <= fleet.bound
+    late = [at for at in fleet.admitted if 12 < at < 20]
+    assert len(late) / 8 >= 0.85 * ACCOUNT.rate
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_hot_account_with_hosts_cut_off_from_each_other(seed) -> None:
+    fleet = Fleet(ACCOUNT)
+    hot = spread(300.0, list(range(HOSTS)), seed)
+
+    def choose(now: float) -> list[int]:
+        fleet.cut = {1, 4, 7} if 6 < now < 14 else set()
+        return hot(now)
+
+    fleet.run(20.0, choose)
+    assert fleet.find_most() <= fleet.bound
+
+
+def test_restarted_hosts_grant_less_at_first() -> None:
+    fresh = [
+        accounts.AccountMeter(ACCOUNT, TERMS, True, 0.0) for _ in range(2)
+    ]
+    counts = []
+    for meter in fresh:
+        counts.append(
+            sum(
+                meter.try_admit(0.0, accounts.Silence(HOSTS)) == 0.0
+                for _ in range(1000)
+            )
+        )
+    paid = ACCOUNT.rate * TERMS.window_s + ACCOUNT.burst
+    assert max(counts) < 0.5 * paid
+
+
+def test_no_rate_means_no_limit_and_a_lower_limit_binds_at_once() -> None:
+    meter = accounts.AccountMeter(
+        model.Account("a", 1, 0.0, 0.0), TERMS, False, 0.0
+    )
+    assert all(meter.try_admit(0.0, ALONE) == 0.0 for _ in range(5000))
+    meter.set_terms(ACCOUNT)
+    assert meter.try_admit(0.1, ALONE) > 0.0
