--- a/src/cowslipshift/console/application.py
+++ b/src/cowslipshift/console/application.py
@@ -12,6 +12,7 @@
 from cowslipshift.console.commands import accounts
 from cowslipshift.console.commands import changes
 from cowslipshift.console.commands import config
+from cowslipshift.console.commands import explain
 from cowslipshift.console.commands import fleet
 from cowslipshift.console.commands import rules
 from cowslipshift.console.commands import standin
@@ -28,6 +29,7 @@
     "shift": changes.ShiftCommand,
     "fleet": fleet.FleetCommand,
     "lookup": fleet.lookup,
+    "explain": explain.explain,
     "standin": standin.StandinCommand,
 }
 
--- /dev/null
+++ b/src/cowslipshift/edge/attempts.py
@@ -0,0 +1,315 @@
+"""The attempts of one request, until there is an answer to give."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from aiohttp import web
+
+from cowslipshift.edge import exceptions
+from cowslipshift.edge import upstream
+from cowslipshift.platform import ingress
+from cowslipshift.steering import desk as desks
+from cowslipshift.telemetry import logs
+
+if TYPE_CHECKING:
+    from cowslipshift import clock as clocks
+    from cowslipshift.edge import metrics as metric
+
+MIN_LEFT_S = 0.02
+"""Less time than that is not worth an attempt."""
+
+MAX_BAD_CONNECTS = 4
+"""Backend servers that refuse or ignore a connection, one after another."""
+
+_log = logs.EventLog("request")
+
+
+class Refused(Exception):
+    """The request gets an answer of the system's own.
+
+    Attributes:
+        status: HTTP status.
+        code: What callers and operators may match on.
+        retry_after_s: When to come back; ``None`` when it is not said.
+        inputs: What decided it, for the log.
+    """
+
+    def __init__(
+        self,
+        status: int,
+        code: str,
+        retry_after_s: float | None = None,
+        **inputs: object,
+    ) -> None:
+        super().__init__(code)
+        self.inputs = inputs
+        self.status = status
+        self.code = code
+        self.retry_after_s = retry_after_s
+
+
+class Tools:
+    """What the attempts of all requests share.
+
+    Args:
+        clock: Source of the present time.
+        desk: The decisions.
+        client: Connections to backend servers.
+        metrics: Metrics of the host.
+    """
+
+    __slots__ = ("client", "clock", "desk", "metrics")
+
+    def __init__(
+        self,
+        clock: clocks.Clock,
+        desk: desks.Desk,
+        client: upstream.UpstreamClient,
+        metrics: metric.EdgeMetrics,
+    ) -> None:
+        self.clock = clock
+        self.desk = desk
+        self.client = client
+        self.metrics = metrics
+
+
+class Attempts:
+    """The attempts of one request."""
+
+    __slots__ = (
+        "_bad_connects",
+        "_body",
+        "_call",
+        "_tools",
+        "_last",
+        "_may_have_run",
+        "_request",
+        "_said",
+        "_sent",
+    )
+
+    def __init__(
+        self,
+        tools: Tools,
+        request: web.BaseRequest,
+        said: ingress.Request,
+        call: desks.Call,
+        body: bytes | None,
+    ) -> None:
+        self._tools = tools
+        self._request = request
+        self._said = said
+        self._call = call
+        self._body = body
+        self._sent = 0
+        self._bad_connects = 0
+        self._may_have_run = False
+        self._last: tuple[upstream.Answer, str] | None = None
+
+    async def run(self) -> web.Response:
+        """Try until there is an answer to give."""
+        while True:
+            choice = self._choose()
+            if isinstance(choice, desks.Refusal):
+                return self._give_up(choice)
+            answer = await self._try(choice)
+            if answer is not None:
+                return answer
+
+    def _choose(self) -> desks.Choice | desks.Refusal:
+        call, now = self._call, self._tools.clock.now()
+        if call.deadline_s - now < MIN_LEFT_S:
+            return desks.Refusal("late", 0.1)
+        if self._sent:
+            if self._sent >= max(1, call.route.attempts):
+                return desks.Refusal("attempts", 0.2)
+            choice = self._tools.desk.choose_backend(call, now)
+            if isinstance(choice, desks.Refusal):
+                return choice
+            if not self._tools.desk.try_retry(call.service):
+                return desks.Refusal("retry_budget", 0.2)
+            return choice
+        if self._bad_connects >= MAX_BAD_CONNECTS:
+            return desks.Refusal("unreachable", 0.2)
+        return self._tools.desk.choose_backend(call, now)
+
+    def _give_up(self, refusal: desks.Refusal) -> web.Response:
+        if self._last is not None:
+            answer, backend = self._last
+            return self._answer(answer, backend)
+        if self._may_have_run:
+            raise Refused(
+                504 if refusal.reason == "late" else 502, "outcome_unknown"
+            )
+        raise Refused(
+            503,
+            refusal.reason,
+            refusal.retry_after_s,
+            service=self._call.service,
+            tried=len(self._call.tried),
+            **_describe(refusal.best, self._tools.clock.now()),
+        )
+
+    async def _try(self, choice: desks.Choice) -> web.Response | None:
+        call, tools = self._call, self._tools
+        state, entry = choice.state, choice.state.entry
+        now = tools.clock.now()
+        left_s = call.deadline_s - now
+        call.tried.add(entry.id)
+        headers = ingress.build_headers(
+            self._request.headers.items(),
+            left_s,
+            entry.id,
+            call.account.name if call.account is not None else None,
+        )
+        state.in_flight += 1
+        try:
+            answer = await tools.client.send(
+                entry.address,
+                self._request.method,
+                self._request.raw_path,
+                headers,
+                self._body,
+                left_s,
+            )
+        except exceptions.NotSentError as error:
+            self._bad_connects += 1
+            self._note_failure(choice, error, is_down=True)
+            return None
+        except exceptions.LostError as error:
+            self._sent += 1
+            self._may_have_run = True
+            self._note_failure(choice, error, is_down=False)
+            if error.is_late or not call.route.is_idempotent:
+                raise Refused(
+                    504 if error.is_late else 502, "outcome_unknown"
+                ) from error
+            return None
+        finally:
+            state.in_flight -= 1
+        return self._take(choice, answer, tools.clock.now() - now)
+
+    def _take(
+        self, choice: desks.Choice, answer: upstream.Answer, took_s: float
+    ) -> web.Response | None:
+        call, tools = self._call, self._tools
+        state, now = choice.state, tools.clock.now()
+        verdict = ingress.read_verdict(answer.status, answer.headers)
+        if verdict.load is not None:
+            state.note_load(*verdict.load, now)
+        self._sent += 1
+        if verdict.has_not_run:
+            self._note_shed(choice, answer.status)
+            return None
+        self._may_have_run = True
+        is_crossed = verdict.request_id not in ("", self._said.id)
+        is_unsigned = 200 <= answer.status < 300 and not verdict.is_signed
+        if is_crossed or is_unsigned:
+            error = exceptions.LostError("an answer that is not ours", False)
+            self._note_failure(choice, error, is_down=False)
+            if not call.route.is_idempotent:
+                raise Refused(502, "outcome_unknown")
+            return None
+        is_bad = answer.status >= 500
+        self._note_answer(choice, took_s, is_bad)
+        if is_bad and call.route.is_idempotent:
+            self._last = (answer, state.entry.id)
+            return None
+        _log.info(
+            "answered",
+            id=self._said.id,
+            route=call.route.name,
+            account=call.account.name if call.account else "",
+            thing=call.thing,
+            status=answer.status,
+            took_ms=took_s * 1000,
+            target_ms=call.route.target_s * 1000,
+            attempts=self._sent,
+            config=tools.desk.version,
+            **_describe(choice, now),
+        )
+        return self._answer(answer, state.entry.id)
+
+    def _answer(self, answer: upstream.Answer, backend: str) -> web.Response:
+        took_s = self._tools.clock.now() - self._call.arrived_s
+        self._tools.metrics.count_answer(
+            self._call.route.name, answer.status, took_s
+        )
+        return web.Response(
+            status=answer.status,
+            headers=ingress.copy_headers(answer.headers.items()),
+            body=answer.body,
+        )
+
+    def _note_answer(
+        self, choice: desks.Choice, took_s: float, is_bad: bool
+    ) -> None:
+        call, state = self._call, choice.state
+        now = self._tools.clock.now()
+        if is_bad:
+            state.note_failure(now, is_down=False)
+        else:
+            state.note_answer(call.thing, took_s, choice.usual_s, now)
+            self._tools.desk.learn(call, choice, took_s)
+        self._note_version(choice, is_bad)
+
+    def _note_failure(
+        self,
+        choice: desks.Choice,
+        error: exceptions.NotSentError | exceptions.LostError,
+        is_down: bool,
+    ) -> None:
+        now = self._tools.clock.now()
+        is_ejected = choice.state.note_failure(now, is_down)
+        if not is_down and not choice.state.is_cold(now):
+            self._note_version(choice, is_bad=True)
+        self._tools.metrics.count_failure(error.code)
+        _log.notice(
+            "attempt_failed",
+            id=self._said.id,
+            route=self._call.route.name,
+            code=error.code,
+            reason=error.message,
+            ejected=is_ejected,
+            **_describe(choice, now),
+        )
+
+    def _note_shed(self, choice: desks.Choice, status: int) -> None:
+        self._tools.metrics.count_failure("not_executed")
+        _log.notice(
+            "attempt_shed",
+            id=self._said.id,
+            status=status,
+            **_describe(choice, self._tools.clock.now()),
+        )
+
+    def _note_version(self, choice: desks.Choice, is_bad: bool) -> None:
+        version = choice.state.entry.version
+        if self._tools.desk.note_outcome(self._call, version, is_bad):
+            _log.warn(
+                "version_condemned",
+                id=self._said.id,
+                service=self._call.service,
+                version=version,
+            )
+
+
+def _describe(choice: desks.Choice | None, now: float) -> dict[str, object]:
+    """Return what was believed of a backend server, and how old it is."""
+    if choice is None:
+        return {}
+    state = choice.state
+    return {
+        "backend": state.entry.id,
+        "version": state.entry.version,
+        "data_centre": state.entry.data_centre,
+        "position": choice.position,
+        "known_warm": choice.is_known_warm,
+        "load": choice.load,
+        "load_age_ms": state.measure_report_age(now) * 1000,
+        "slots": state.entry.slots,
+        "slowness": state.estimate_slowness(now),
+        "queue_ms": choice.queue_s * 1000,
+        "expected_ms": choice.expected_s * 1000,
+    }
--- a/src/cowslipshift/edge/service.py
+++ b/src/cowslipshift/edge/service.py
@@ -15,6 +15,7 @@
 
 from cowslipshift import clock as clocks
 from cowslipshift import exceptions as base_exceptions
+from cowslipshift.edge import attempts
 from cowslipshift.edge import frontdoor
 from cowslipshift.edge import gossip as gossips
 from cowslipshift.edge import messages
@@ -193,10 +194,9 @@
         )
         self._client = upstream.UpstreamClient()
         self._door = frontdoor.FrontDoor(
-            self._clock,
-            self._desk,
-            self._client,
-            self._metrics,
+            attempts.Tools(
+                self._clock, self._desk, self._client, self._metrics
+            ),
             self._tell_peers,
         )
         self._watcher = watchers.Watcher(
--- a/src/cowslipshift/standins/platformfleet.py
+++ b/src/cowslipshift/standins/platformfleet.py
@@ -165,6 +165,10 @@
         )
         return backend
 
+    async def open_store(self) -> str:
+        """Open another port of the store and return its address."""
+        return await self._serve(self.store.build_application())
+
     def write_entry(
         self, identity: str, state: str, version: str = "v1"
     ) -> None:
@@ -179,7 +183,7 @@
 
     async def add_host(self, data_centre: str) -> edge_service.EdgeService:
         """Start a host, with a port of the store to itself."""
-        store_address = await self._serve(self.store.build_application())
+        store_address = await self.open_store()
         ports = find_ports(5)
         settings = platform_settings.HostSettings(
             node_name=f"host-{len(self.hosts) + 1}",
@@ -226,6 +230,7 @@
         self,
         path: str = READ_PATH + "1",
         host: int = 0,
+        front: str = "",
         request_id: str = "r1",
         method: str = "GET",
         key: str = KEY,
@@ -234,7 +239,7 @@
         body: bytes | None = None,
     ) -> tuple[int, bytes, dict[str, str]]:
         """Send a request as a caller does; return status, body, headers."""
-        front = self.hosts[host].settings.listen.front
+        front = front or self.hosts[host].settings.listen.front
         async with self.session.request(
             method,
             yarl.URL(f"http://{front}{path}", encoded=True),
--- a/src/cowslipshift/steering/backends.py
+++ b/src/cowslipshift/steering/backends.py
@@ -89,6 +89,10 @@
         others = self._others * math.exp(-age_s / LOAD_FADE_S)
         return self.in_flight + others
 
+    def measure_report_age(self, now: float) -> float:
+        """Return the age in seconds of the last load report."""
+        return now - self._reported_s
+
     def estimate_wait(self, now: float, work_s: float) -> float:
         """Return seconds until a slot is free for one more request.
 
--- a/src/cowslipshift/steering/desk.py
+++ b/src/cowslipshift/steering/desk.py
@@ -37,6 +37,9 @@
 """Servers in an object's order that are weighed against each other. More
 would spread each object over many servers, which forget others for it."""
 
+MAX_KEPT_ORDERS = 20_000
+"""Objects whose order is kept; ranking one anew takes some microseconds."""
+
 COLD_SAFETY = 0.7
 MIN_RETRY_AFTER_S = 0.1
 MAX_RETRY_AFTER_S = 1.0
@@ -84,10 +87,12 @@
     Attributes:
         reason: A short code.
         retry_after_s: When there will be room, as far as is known.
+        best: The best of the servers that were weighed, if any was.
     """
 
     reason: str
     retry_after_s: float
+    best: Choice | None = None
 
 
 class Call(msgspec.Struct):
@@ -156,6 +161,11 @@
         self._lapsed: dict[str, float] = {}
         self._unstable_until_s = -1e9
 
+    @property
+    def version(self) -> int:
+        """Version of the configuration in force; 0 for none."""
+        return self.plan.version if self.plan is not None else 0
+
     # What others wrote
 
     def apply(self, change: changes.Change, now: float) -> bool:
@@ -330,6 +340,9 @@
             if self._is_usable(state, call, now)
         ]
         started = [state for state in usable if not state.is_cold(now)]
+        if not started and self._may_stay_old(call):
+            call.is_new = False
+            return self.choose_backend(call, now)
         best: Choice | None = None
         for position, state in enumerate(started[:CANDIDATES]):
             choice = self._predict(call, state, position, now)
@@ -346,6 +359,7 @@
             return Refusal(
                 "no_room",
                 min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, wait_s)),
+                best,
             )
         return best
 
@@ -371,6 +385,13 @@
         rollout = self.rollouts.get(call.service)
         return rollout is not None and rollout.note_answer(version, is_bad)
 
+    def _may_stay_old(self, call: Call) -> bool:
+        """Tell whether the old version may run what the new one cannot."""
+        rollout = self.rollouts.get(call.service)
+        if rollout is None or not call.is_new:
+            return False
+        return rollout.measure_share() < 1.0
+
     def _rank(self, call: Call) -> list[backends.BackendState]:
         key = (call.service, call.thing or call.id)
         known = self._orders.get(key)
@@ -387,6 +408,8 @@
                 len(set(self._regions.values())),
             )
             if call.thing:
+                if len(self._orders) >= MAX_KEPT_ORDERS:
+                    self._orders.clear()
                 self._orders[key] = known
         return known
 
