Emulate a deployment in simulated time; compare ways to place objects

bench policies drives the real desk with hosts, backend servers that remember objects, waves and slow servers.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -15,6 +15,7 @@
 from bench import lookups
 from bench import moves
 from bench import moving
+from bench import policies
 from bench import requests
 from bench import scale
 from bench import sizes
@@ -73,6 +74,18 @@
         """
         _report("moves", asyncio.to_thread(moves.measure, runs, workers), save)
 
+    def policies(
+        self, seeds: int = 5, seconds: float = 30.0, save: bool = False
+    ) -> None:
+        """Ways to place objects, in an emulated deployment.
+
+        Args:
+            seeds: Seeds of each way.
+            seconds: Simulated time of each.
+            save: Keep the result in docs/measurements.
+        """
+        _report("policies", policies.measure(seeds, seconds), save)
+
     def moving(self, save: bool = False) -> None:
         """Requests refused within an account's rate, on real daemons.
 
--- /dev/null
+++ b/bench/emulator.py
@@ -0,0 +1,356 @@
+"""A deployment in simulated time that drives the real decisions.
+
+Hosts are `steering.desk.Desk` objects. Backend servers have slots, a short
+queue, and remember the objects that they handled last. Callers of each
+region ask for objects of their own, in waves.
+"""
+
+from __future__ import annotations
+
+import collections
+import heapq
+import itertools
+import random
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from cowslipshift.steering import accounts
+from cowslipshift.steering import changes
+from cowslipshift.steering import desk as desks
+from cowslipshift.steering import model
+from cowslipshift.steering import presence as presences
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+SERVICE = "sheets"
+HOP_S = 0.012
+"""One way between regions."""
+
+WAVE_S = 36.0
+SWING = 0.55
+
+
+class Shape(msgspec.Struct, frozen=True):
+    """A deployment and its load.
+
+    Attributes:
+        backends: Backend servers by region.
+        hosts: Hosts by region.
+        slots: Slots of a server.
+        queue: Requests that may wait at a server.
+        keeps: Objects that a server remembers.
+        things: Objects of each region.
+        per_s: Requests per second of each region, on average.
+        work_s: Time of a request on an object that is not remembered.
+        warm_part: Part of it for one that is.
+        target_s: Time within which an answer earns its full credit.
+        timeout_s: Time after which it earns nothing.
+        slow: Server that takes five times as long, from one time to
+            another, or ``None``.
+    """
+
+    backends: dict[str, int]
+    hosts: dict[str, int]
+    slots: int = 5
+    queue: int = 15
+    keeps: int = 29
+    things: int = 28
+    per_s: float = 47.0
+    work_s: float = 0.64
+    warm_part: float = 0.3
+    target_s: float = 0.4
+    timeout_s: float = 1.0
+    slow: tuple[str, float, float] | None = None
+
+
+UNEVEN = Shape(
+    backends={"north": 6, "south": 2, "west": 4},
+    hosts={"north": 4, "south": 3, "west": 3},
+)
+
+
+class Result(msgspec.Struct):
+    """What became of the requests, as parts of all.
+
+    Attributes:
+        across: Attempts that went to another region.
+        first_s: In target within the first four seconds.
+        worst_region: In target in the worst-served region.
+    """
+
+    requests: int = 0
+    in_target: float = 0.0
+    late: float = 0.0
+    refused: float = 0.0
+    failed: float = 0.0
+    warm: float = 0.0
+    across: float = 0.0
+    first_s: float = 0.0
+    worst_region: float = 0.0
+
+
+class _Job(msgspec.Struct, eq=False):
+    call: desks.Call
+    choice: desks.Choice
+    desk: desks.Desk
+    region: str
+    arrived_s: float
+    sent_s: float
+    sends: int = 1
+    is_over: bool = False
+
+
+class _Server:
+    def __init__(self, region: str, shape: Shape) -> None:
+        self.region = region
+        self.running = 0
+        self.waiting: collections.deque[_Job] = collections.deque()
+        self.known: collections.OrderedDict[str, None] = (
+            collections.OrderedDict()
+        )
+
+
+class Emulator:
+    """Plays one load on one deployment.
+
+    Args:
+        shape: The deployment.
+        seed: Seed of all chance.
+    """
+
+    def __init__(self, shape: Shape, seed: int) -> None:
+        self._shape = shape
+        self._draw = random.Random(seed)
+        self._events: list[tuple[float, int, Callable[[], None]]] = []
+        self._number = itertools.count()
+        self._now = 0.0
+        self._servers: dict[str, _Server] = {}
+        self._regions = list(shape.backends)
+        self._hosts: dict[str, list[desks.Desk]] = {}
+        self._counts: collections.Counter[str] = collections.Counter()
+        self._build()
+
+    def run(self, length_s: float) -> Result:
+        """Play so many seconds of callers."""
+        for region in self._regions:
+            self._at(0.0, lambda region=region: self._ask(region, length_s))
+        for step in range(int(length_s * 10)):
+            self._at(step / 10, self._refill)
+        while self._events:
+            self._now, _, act = heapq.heappop(self._events)
+            act()
+        return self._sum_up()
+
+    def _build(self) -> None:
+        shape = self._shape
+        route = model.Route(
+            name="read",
+            hostname="h",
+            prefix="/",
+            parts=(model.Part(SERVICE, 1.0),),
+            is_idempotent=True,
+            timeout_s=shape.timeout_s,
+            target_s=shape.target_s,
+            attempts=2,
+            rank=1,
+            is_public=True,
+            has_affinity=True,
+        )
+        plan = model.Plan(
+            version=1,
+            routes=(route,),
+            services={SERVICE: model.Service(SERVICE, 300, 3.0, 4.5)},
+            accounts={},
+            accounts_by_key={},
+            limits=model.Limits(),
+        )
+        places = {f"{region}-a": region for region in self._regions}
+        entries = []
+        for region, count in shape.backends.items():
+            for number in range(count):
+                identity = f"{region}-{number}"
+                self._servers[identity] = _Server(region, shape)
+                entries.append(
+                    model.Backend(
+                        id=identity,
+                        service=SERVICE,
+                        address="",
+                        data_centre=f"{region}-a",
+                        version="v1",
+                        slots=shape.slots,
+                        is_draining=False,
+                        cold_s=0.0,
+                        started_ms=1,
+                    )
+                )
+        members = [
+            model.Member(
+                name=f"{region}-host-{number}",
+                data_centre=f"{region}-a",
+                region=region,
+                front="",
+                internal="",
+                words="",
+                incarnation=1,
+            )
+            for region, count in shape.hosts.items()
+            for number in range(count)
+        ]
+        terms = accounts.Terms(5.0)
+        for own in members:
+            presence = presences.Presence(own)
+            for member in members:
+                presence.set_member(member.name, member, 0.0)
+            desk = desks.Desk(
+                presence,
+                places,
+                0.2,
+                60.0,
+                10.0,
+                accounts.AccountDesk(terms, False, 0.0),
+            )
+            desk.apply(changes.PlanChange(plan), 0.0)
+            for entry in entries:
+                desk.apply(changes.BackendChange(entry.id, entry), 0.0)
+            self._hosts.setdefault(own.region, []).append(desk)
+
+    def _at(self, when: float, act: Callable[[], None]) -> None:
+        heapq.heappush(self._events, (when, next(self._number), act))
+
+    def _refill(self) -> None:
+        for listed in self._hosts.values():
+            for desk in listed:
+                desk.refill_budgets(0.1, self._now)
+
+    def _ask(self, region: str, length_s: float) -> None:
+        if self._now >= length_s:
+            return
+        phase = self._regions.index(region) / len(self._regions)
+        wave = abs(((self._now / WAVE_S + phase) % 1.0) * 4.0 - 2.0) - 1.0
+        rate = self._shape.per_s * (1.0 + SWING * wave)
+        self._at(
+            self._now + self._draw.expovariate(rate),
+            lambda: self._ask(region, length_s),
+        )
+        desk = self._draw.choice(self._hosts[region])
+        assert desk.plan is not None
+        route = desk.plan.routes[0]
+        thing = f"{region}-{self._draw.randrange(self._shape.things)}"
+        number = next(self._number)
+        call = desk.open_call(
+            str(number),
+            route,
+            None,
+            thing,
+            self._now + self._shape.timeout_s,
+            self._now,
+        )
+        self._count("requests", region)
+        self._send(call, desk, region, self._now, 1)
+
+    def _send(
+        self,
+        call: desks.Call,
+        desk: desks.Desk,
+        region: str,
+        arrived_s: float,
+        sends: int,
+    ) -> None:
+        choice = desk.choose_backend(call, self._now)
+        if isinstance(choice, desks.Refusal):
+            self._count("refused", region)
+            return
+        if sends > 1 and not desk.try_retry(call.service):
+            self._count("refused", region)
+            return
+        job = _Job(call, choice, desk, region, arrived_s, self._now, sends)
+        server = self._servers[choice.state.entry.id]
+        choice.state.in_flight += 1
+        call.tried.add(choice.state.entry.id)
+        self._counts["attempts"] += 1
+        self._counts["across"] += server.region != region
+        hop_s = HOP_S if server.region != region else 0.001
+        self._at(self._now + hop_s, lambda: self._arrive(job, server))
+        self._at(call.deadline_s, lambda: self._give_up(job, server))
+
+    def _arrive(self, job: _Job, server: _Server) -> None:
+        if server.running < self._shape.slots:
+            self._start(job, server)
+        elif len(server.waiting) < self._shape.queue:
+            server.waiting.append(job)
+        else:
+            self._end(job, server)
+            self._send(
+                job.call, job.desk, job.region, job.arrived_s, job.sends + 1
+            )
+
+    def _start(self, job: _Job, server: _Server) -> None:
+        server.running += 1
+        thing = job.call.thing
+        work_s = self._shape.work_s * self._draw.lognormvariate(0.0, 0.15)
+        if thing in server.known:
+            work_s *= self._shape.warm_part
+            self._counts["warm"] += 1
+        server.known[thing] = None
+        server.known.move_to_end(thing)
+        if len(server.known) > self._shape.keeps:
+            server.known.popitem(last=False)
+        slow = self._shape.slow
+        if slow is not None and slow[1] <= self._now < slow[2]:
+            work_s *= 5.0 if job.choice.state.entry.id == slow[0] else 1.0
+        self._at(self._now + work_s, lambda: self._finish(job, server))
+
+    def _finish(self, job: _Job, server: _Server) -> None:
+        server.running -= 1
+        while server.waiting and server.running < self._shape.slots:
+            following = server.waiting.popleft()
+            if not following.is_over:
+                self._start(following, server)
+        if job.is_over:
+            return
+        self._end(job, server)
+        took_s = self._now - job.sent_s
+        state, call = job.choice.state, job.call
+        state.note_load(server.running, len(server.waiting), self._now)
+        state.note_answer(call.thing, took_s, job.choice.usual_s, self._now)
+        job.desk.learn(call, job.choice, took_s)
+        is_in_time = self._now - job.arrived_s <= self._shape.target_s
+        self._count("in_target" if is_in_time else "late", job.region)
+        if job.arrived_s < 4.0:
+            self._counts["first"] += is_in_time
+
+    def _give_up(self, job: _Job, server: _Server) -> None:
+        if not job.is_over:
+            self._end(job, server)
+            self._count("failed", job.region)
+
+    def _end(self, job: _Job, server: _Server) -> None:
+        job.is_over = True
+        job.choice.state.in_flight -= 1
+
+    def _count(self, outcome: str, region: str) -> None:
+        self._counts[outcome] += 1
+        self._counts[f"{outcome} {region}"] += 1
+        if outcome == "requests" and self._now < 4.0:
+            self._counts["first requests"] += 1
+
+    def _sum_up(self) -> Result:
+        counts = self._counts
+        total = max(1, counts["requests"])
+        return Result(
+            requests=counts["requests"],
+            in_target=counts["in_target"] / total,
+            late=counts["late"] / total,
+            refused=counts["refused"] / total,
+            failed=counts["failed"] / total,
+            warm=counts["warm"] / max(1, counts["attempts"]),
+            across=counts["across"] / max(1, counts["attempts"]),
+            first_s=counts["first"] / max(1, counts["first requests"]),
+            worst_region=min(
+                counts[f"in_target {region}"]
+                / max(1, counts[f"requests {region}"])
+                for region in self._regions
+            ),
+        )
--- /dev/null
+++ b/bench/policies.py
@@ -0,0 +1,73 @@
+"""Ways to place objects, compared on the same seeds in the emulator."""
+
+from __future__ import annotations
+
+import contextlib
+import statistics
+from typing import Any
+from typing import TYPE_CHECKING
+
+from bench import emulator
+from cowslipshift.steering import desk as desks
+from cowslipshift.steering import placement
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+WAYS: dict[str, dict[str, float]] = {
+    "region that asks, two servers": {},
+    "region that asks, one server": {"CANDIDATES": 1},
+    "region that asks, three servers": {"CANDIDATES": 3},
+    "region that asks, all servers": {"CANDIDATES": 99},
+    "region that asks, always": {"HOME_LEAN": 99.0},
+    "region by capacity alone": {"HOME_LEAN": 1.0},
+    "hash over all regions": {"HOME_LEAN": -1.0},
+}
+
+
+async def measure(seeds: int, length_s: float) -> dict[str, Any]:
+    """Return the mean outcome of each way, by load."""
+    loads = {"quiet": 27.0, "busy": 47.0, "overloaded": 75.0}
+    return {
+        load: {
+            way: _play(constants, per_s, seeds, length_s)
+            for way, constants in WAYS.items()
+        }
+        for load, per_s in loads.items()
+    }
+
+
+def _play(
+    constants: dict[str, float], per_s: float, seeds: int, length_s: float
+) -> dict[str, float]:
+    shape = emulator.msgspec.structs.replace(emulator.UNEVEN, per_s=per_s)
+    with _set_constants(constants):
+        results = [
+            emulator.Emulator(shape, seed).run(length_s)
+            for seed in range(seeds)
+        ]
+    return {
+        name: round(statistics.mean(getattr(r, name) for r in results), 4)
+        for name in emulator.Result.__struct_fields__
+    }
+
+
+@contextlib.contextmanager
+def _set_constants(constants: dict[str, float]) -> Iterator[None]:
+    homes = {"HOME_LEAN": placement, "CANDIDATES": desks}
+    kept = {name: getattr(homes[name], name) for name in constants}
+    if constants.get("HOME_LEAN", 0.0) < 0.0:
+        constants = {**constants}
+        del constants["HOME_LEAN"]
+        kept_share = placement.share_regions
+        placement.share_regions = lambda home, slots, regions: dict(slots)
+    else:
+        kept_share = placement.share_regions
+    for name, value in constants.items():
+        setattr(homes[name], name, value)
+    try:
+        yield
+    finally:
+        placement.share_regions = kept_share
+        for name, value in kept.items():
+            setattr(homes[name], name, value)
