Close listeners at once when the time for a stop is over

aiohttp waits up to 60 s for handlers at a close; the platform kills after 6. What still ran was given up by then anyway, and now the host ends by itself.

--- a/src/cowslipshift/edge/service.py
+++ b/src/cowslipshift/edge/service.py
@@ -59,6 +59,9 @@
 for three lifetimes."""
 
 STOP_MARGIN_S = 0.5
+"""Time before the platform's kill at which what still runs is given up."""
+
+CLOSE_TIMEOUT_S = 0.1
 POLL_S = 0.05
 IDLE_CONNECTION_S = 75.0
 """Longer than callers keep connections idle, so that none is closed under
@@ -252,13 +255,17 @@
             max_line_size=frontdoor.MAX_URL_BYTES,
             max_field_size=frontdoor.MAX_URL_BYTES,
         )
-        self._front_runner = web.ServerRunner(server)
+        self._front_runner = web.ServerRunner(
+            server, shutdown_timeout=CLOSE_TIMEOUT_S
+        )
         await self._run_site(self._front_runner, listen.front)
 
     async def _listen(
         self, application: web.Application, address: str
     ) -> None:
-        runner = web.AppRunner(application, access_log=None)
+        runner = web.AppRunner(
+            application, access_log=None, shutdown_timeout=CLOSE_TIMEOUT_S
+        )
         await self._run_site(runner, address)
 
     async def _run_site(self, runner: web.BaseRunner, address: str) -> None:
