--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from bench import fairness
+from bench import logging
 from bench import lookups
 from bench import moves
 from bench import moving
@@ -74,6 +75,14 @@
         """
         _report("moves", asyncio.to_thread(moves.measure, runs, workers), save)
 
+    def logging(self, save: bool = False) -> None:
+        """Processor time of log lines, beside none.
+
+        Args:
+            save: Keep the result in docs/measurements.
+        """
+        _report("logging", logging.measure(), save)
+
     def policies(
         self, seeds: int = 5, seconds: float = 30.0, save: bool = False
     ) -> None:
--- a/src/cowslipshift/demo.py
+++ b/src/cowslipshift/demo.py
@@ -9,6 +9,7 @@
 import aiohttp
 import uvloop
 
+from cowslipshift import platformdemo
 from cowslipshift.config import edits
 from cowslipshift.serving import idempotency
 from cowslipshift.standins import localfleet
@@ -180,9 +181,11 @@
         await fleet.start()
         say(f"  running; logs are in {fleet.directory}")
         await Tour(fleet).run()
-        say("Done.")
     finally:
         await fleet.close()
+    for line in await platformdemo.show_platform():
+        say(line)
+    say("Done.")
 
 
 def main() -> None:
@@ -190,7 +193,11 @@
     uvloop.install()
     try:
         asyncio.run(run_demo())
-    except (DemoError, localfleet.StartError) as error:
+    except (
+        DemoError,
+        localfleet.StartError,
+        platformdemo.PlatformDemoError,
+    ) as error:
         print(f"demo failed: {error}", file=sys.stderr)
         sys.exit(1)
 
--- a/src/cowslipshift/edge/attempts.py
+++ b/src/cowslipshift/edge/attempts.py
@@ -148,7 +148,7 @@
             refusal.retry_after_s,
             service=self._call.service,
             tried=len(self._call.tried),
-            **_describe(refusal.best, self._tools.clock.now()),
+            **describe_choice(refusal.best, self._tools.clock.now()),
         )
 
     async def _try(self, choice: desks.Choice) -> web.Response | None:
@@ -227,7 +227,7 @@
             target_ms=call.route.target_s * 1000,
             attempts=self._sent,
             config=tools.desk.version,
-            **_describe(choice, now),
+            **describe_choice(choice, now),
         )
         return self._answer(answer, state.entry.id)
 
@@ -272,7 +272,7 @@
             code=error.code,
             reason=error.message,
             ejected=is_ejected,
-            **_describe(choice, now),
+            **describe_choice(choice, now),
         )
 
     def _note_shed(self, choice: desks.Choice, status: int) -> None:
@@ -281,7 +281,7 @@
             "attempt_shed",
             id=self._said.id,
             status=status,
-            **_describe(choice, self._tools.clock.now()),
+            **describe_choice(choice, self._tools.clock.now()),
         )
 
     def _note_version(self, choice: desks.Choice, is_bad: bool) -> None:
@@ -295,7 +295,9 @@
             )
 
 
-def _describe(choice: desks.Choice | None, now: float) -> dict[str, object]:
+def describe_choice(
+    choice: desks.Choice | None, now: float
+) -> dict[str, object]:
     """Return what was believed of a backend server, and how old it is."""
     if choice is None:
         return {}
