--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -21,6 +21,7 @@
 from bench import scale
 from bench import sizes
 from bench import skew
+from bench import steering
 
 if TYPE_CHECKING:
     from collections.abc import Coroutine
@@ -83,6 +84,14 @@
         """
         _report("logging", logging.measure(), save)
 
+    def steering(self, save: bool = False) -> None:
+        """What the decisions on a platform cost, by size.
+
+        Args:
+            save: Keep the result in docs/measurements.
+        """
+        _report("steering", steering.measure(), save)
+
     def policies(
         self, seeds: int = 5, seconds: float = 30.0, save: bool = False
     ) -> None:
--- /dev/null
+++ b/bench/steering.py
@@ -0,0 +1,141 @@
+"""What the decisions on a platform cost, by size."""
+
+from __future__ import annotations
+
+import time
+import tracemalloc
+from typing import Any
+from typing import TYPE_CHECKING
+
+from tests import builders
+
+from cowslipshift.edge import messages
+from cowslipshift.edge import view as views
+from cowslipshift.platform import translation
+from cowslipshift.standins import platformbackend
+from cowslipshift.steering import accounts
+from cowslipshift.steering import desk as desks
+from cowslipshift.store import interface
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+SERVERS = (12, 120, 1200)
+HOSTS = (10, 85, 3100)
+ACCOUNTS = (8, 72, 720)
+ROUNDS = 300
+
+
+async def measure() -> dict[str, Any]:
+    """Return processor time, bytes and memory of each mechanism."""
+    return {
+        "choose a server, known object, us": {
+            count: _time_choice(count, is_known=True) for count in SERVERS
+        },
+        "choose a server, new object, us": {
+            count: _time_choice(count, is_known=False) for count in SERVERS
+        },
+        "admit a request of an account, us by hosts": {
+            count: _time_admission(count) for count in HOSTS
+        },
+        "word, bytes by accounts with news": {
+            count: len(_encode_word(count)) for count in ACCOUNTS
+        },
+        "write and read a word, us by accounts with news": {
+            count: _time(
+                lambda count=count: messages.decode_word(_encode_word(count))
+            )
+            for count in ACCOUNTS
+        },
+        "view and server, bytes by servers": {
+            count: _measure_view(count) for count in SERVERS
+        },
+    }
+
+
+def _time(act: Callable[[], object]) -> float:
+    started_s = time.process_time()
+    for _ in range(ROUNDS):
+        act()
+    return round((time.process_time() - started_s) / ROUNDS * 1e6, 1)
+
+
+def _build_desk(servers: int) -> desks.Desk:
+    places = list(builders.REGIONS)
+    return builders.build_desk(
+        backends=tuple(
+            builders.build_backend(
+                f"s{number}", data_centre=places[number % len(places)]
+            )
+            for number in range(servers)
+        )
+    )
+
+
+def _time_choice(servers: int, is_known: bool) -> float:
+    desk = _build_desk(servers)
+    numbers = iter(range(10**9))
+
+    def choose() -> None:
+        thing = "x" if is_known else str(next(numbers))
+        desk.choose_backend(builders.open_call(desk, thing), 0.0)
+
+    choose()
+    return _time(choose)
+
+
+def _time_admission(hosts: int) -> float:
+    desk = builders.build_desk()
+    names = {f"h{number}" for number in range(hosts - 1)}
+    usage = accounts.Usage(builders.ACCOUNT, 3, 1.0)
+    for name in names:
+        desk.accounts.note_reports(name, [usage], 0.0)
+    meter = desk.accounts.find_meter(builders.ACCOUNT)
+    assert meter is not None
+
+    def admit() -> None:
+        silence = desk.accounts.find_silence(0.1, names)
+        meter.try_admit(0.1, silence)
+
+    return _time(admit)
+
+
+def _encode_word(count: int) -> bytes:
+    usages = [
+        accounts.Usage(f"acc{number:04}", number, 2.5)
+        for number in range(count)
+    ]
+    return messages.encode_word(
+        messages.Word(
+            host="edge-andina-a-1",
+            incarnation=1_786_082_332_679,
+            revision=12_345,
+            is_leaving=False,
+            has_store=True,
+            unstable_s=0.0,
+            usages=usages,
+            reports=[],
+        )
+    )
+
+
+def _measure_view(servers: int) -> int:
+    stand_in = platformbackend.PlatformBackendStandIn("s", 5)
+    items = [
+        interface.Item(
+            f"servers/i-{number:08x}",
+            stand_in.build_entry(f"10.0.{number}:80", "sheets", "north-a"),
+            number + 1,
+        )
+        for number in range(servers)
+    ]
+    desk = builders.build_desk()
+    tracemalloc.start()
+    view = views.View()
+    for item in view.apply_whole(items, servers):
+        change = translation.translate_item(item)
+        assert change is not None
+        desk.apply(change, 0.0)
+    size, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    return size
