--- a/bench/emulator.py
+++ b/bench/emulator.py
@@ -16,8 +16,10 @@
 import msgspec
 
 from cowslipshift.steering import accounts
+from cowslipshift.steering import calls
 from cowslipshift.steering import changes
 from cowslipshift.steering import desk as desks
+from cowslipshift.steering import meters
 from cowslipshift.steering import model
 from cowslipshift.steering import presence as presences
 
@@ -92,8 +94,8 @@
 
 
 class _Job(msgspec.Struct, eq=False):
-    call: desks.Call
-    choice: desks.Choice
+    call: calls.Call
+    choice: calls.Choice
     desk: desks.Desk
     region: str
     arrived_s: float
@@ -198,7 +200,7 @@
             for region, count in shape.hosts.items()
             for number in range(count)
         ]
-        terms = accounts.Terms(5.0)
+        terms = meters.Terms(5.0)
         for own in members:
             presence = presences.Presence(own)
             for member in members:
@@ -252,14 +254,14 @@
 
     def _send(
         self,
-        call: desks.Call,
+        call: calls.Call,
         desk: desks.Desk,
         region: str,
         arrived_s: float,
         sends: int,
     ) -> None:
         choice = desk.choose_backend(call, self._now)
-        if isinstance(choice, desks.Refusal):
+        if isinstance(choice, calls.Refusal):
             self._count("refused", region)
             return
         if sends > 1 and not desk.try_retry(call.service):
--- a/bench/steering.py
+++ b/bench/steering.py
@@ -13,8 +13,8 @@
 from cowslipshift.edge import view as views
 from cowslipshift.platform import translation
 from cowslipshift.standins import platformbackend
-from cowslipshift.steering import accounts
 from cowslipshift.steering import desk as desks
+from cowslipshift.steering import meters
 from cowslipshift.store import interface
 
 if TYPE_CHECKING:
@@ -87,7 +87,7 @@
 def _time_admission(hosts: int) -> float:
     desk = builders.build_desk()
     names = {f"h{number}" for number in range(hosts - 1)}
-    usage = accounts.Usage(builders.ACCOUNT, 3, 1.0)
+    usage = meters.Usage(builders.ACCOUNT, 3, 1.0)
     for name in names:
         desk.accounts.note_reports(name, [usage], 0.0)
     meter = desk.accounts.find_meter(builders.ACCOUNT)
@@ -102,8 +102,7 @@
 
 def _encode_word(count: int) -> bytes:
     usages = [
-        accounts.Usage(f"acc{number:04}", number, 2.5)
-        for number in range(count)
+        meters.Usage(f"acc{number:04}", number, 2.5) for number in range(count)
     ]
     return messages.encode_word(
         messages.Word(
--- a/src/cowslipshift/edge/attempts.py
+++ b/src/cowslipshift/edge/attempts.py
@@ -9,6 +9,7 @@
 from cowslipshift.edge import exceptions
 from cowslipshift.edge import upstream
 from cowslipshift.platform import ingress
+from cowslipshift.steering import calls
 from cowslipshift.steering import desk as desks
 from cowslipshift.telemetry import logs
 
@@ -94,7 +95,7 @@
         tools: Tools,
         request: web.BaseRequest,
         said: ingress.Request,
-        call: desks.Call,
+        call: calls.Call,
         body: bytes | None,
     ) -> None:
         self._tools = tools
@@ -111,30 +112,30 @@
         """Try until there is an answer to give."""
         while True:
             choice = self._choose()
-            if isinstance(choice, desks.Refusal):
+            if isinstance(choice, calls.Refusal):
                 return self._give_up(choice)
             answer = await self._try(choice)
             if answer is not None:
                 return answer
 
-    def _choose(self) -> desks.Choice | desks.Refusal:
+    def _choose(self) -> calls.Choice | calls.Refusal:
         call, now = self._call, self._tools.clock.now()
         if call.deadline_s - now < MIN_LEFT_S:
-            return desks.Refusal("late", 0.1)
+            return calls.Refusal("late", 0.1)
         if self._sent:
             if self._sent >= max(1, call.route.attempts):
-                return desks.Refusal("attempts", 0.2)
+                return calls.Refusal("attempts", 0.2)
             choice = self._tools.desk.choose_backend(call, now)
-            if isinstance(choice, desks.Refusal):
+            if isinstance(choice, calls.Refusal):
                 return choice
             if not self._tools.desk.try_retry(call.service):
-                return desks.Refusal("retry_budget", 0.2)
+                return calls.Refusal("retry_budget", 0.2)
             return choice
         if self._bad_connects >= MAX_BAD_CONNECTS:
-            return desks.Refusal("unreachable", 0.2)
+            return calls.Refusal("unreachable", 0.2)
         return self._tools.desk.choose_backend(call, now)
 
-    def _give_up(self, refusal: desks.Refusal) -> web.Response:
+    def _give_up(self, refusal: calls.Refusal) -> web.Response:
         if self._last is not None:
             answer, backend = self._last
             return self._answer(answer, backend)
@@ -151,7 +152,7 @@
             **describe_choice(refusal.best, self._tools.clock.now()),
         )
 
-    async def _try(self, choice: desks.Choice) -> web.Response | None:
+    async def _try(self, choice: calls.Choice) -> web.Response | None:
         call, tools = self._call, self._tools
         state, entry = choice.state, choice.state.entry
         now = tools.clock.now()
@@ -191,7 +192,7 @@
         return self._take(choice, answer, tools.clock.now() - now)
 
     def _take(
-        self, choice: desks.Choice, answer: upstream.Answer, took_s: float
+        self, choice: calls.Choice, answer: upstream.Answer, took_s: float
     ) -> web.Response | None:
         call, tools = self._call, self._tools
         state, now = choice.state, tools.clock.now()
@@ -243,7 +244,7 @@
         )
 
     def _note_answer(
-        self, choice: desks.Choice, took_s: float, is_bad: bool
+        self, choice: calls.Choice, took_s: float, is_bad: bool
     ) -> None:
         call, state = self._call, choice.state
         now = self._tools.clock.now()
@@ -256,7 +257,7 @@
 
     def _note_failure(
         self,
-        choice: desks.Choice,
+        choice: calls.Choice,
         error: exceptions.NotSentError | exceptions.LostError,
         is_down: bool,
     ) -> None:
@@ -275,7 +276,7 @@
             **describe_choice(choice, now),
         )
 
-    def _note_shed(self, choice: desks.Choice, status: int) -> None:
+    def _note_shed(self, choice: calls.Choice, status: int) -> None:
         self._tools.metrics.count_failure("not_executed")
         _log.notice(
             "attempt_shed",
@@ -284,7 +285,7 @@
             **describe_choice(choice, self._tools.clock.now()),
         )
 
-    def _note_version(self, choice: desks.Choice, is_bad: bool) -> None:
+    def _note_version(self, choice: calls.Choice, is_bad: bool) -> None:
         version = choice.state.entry.version
         if self._tools.desk.note_outcome(self._call, version, is_bad):
             _log.warn(
@@ -296,7 +297,7 @@
 
 
 def describe_choice(
-    choice: desks.Choice | None, now: float
+    choice: calls.Choice | None, now: float
 ) -> dict[str, object]:
     """Return what was believed of a backend server, and how old it is."""
     if choice is None:
--- a/src/cowslipshift/edge/messages.py
+++ b/src/cowslipshift/edge/messages.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from cowslipshift.edge import exceptions
-from cowslipshift.steering import accounts
+from cowslipshift.steering import meters
 from cowslipshift.steering import rollouts
 from cowslipshift.store import interface
 
@@ -48,7 +48,7 @@
     is_leaving: bool
     has_store: bool
     unstable_s: float
-    usages: list[accounts.Usage]
+    usages: list[meters.Usage]
     reports: list[RolloutReport]
 
 
@@ -110,7 +110,7 @@
             has_store=read.hasStore,
             unstable_s=read.unstableMs / 1000.0,
             usages=[
-                accounts.Usage(u.account, u.admitted, u.demand)
+                meters.Usage(u.account, u.admitted, u.demand)
                 for u in read.usages
             ],
             reports=[
--- a/src/cowslipshift/edge/service.py
+++ b/src/cowslipshift/edge/service.py
@@ -16,6 +16,7 @@
 from cowslipshift import clock as clocks
 from cowslipshift import exceptions as base_exceptions
 from cowslipshift.edge import attempts
+from cowslipshift.edge import beliefs
 from cowslipshift.edge import frontdoor
 from cowslipshift.edge import gossip as gossips
 from cowslipshift.edge import messages
@@ -29,8 +30,8 @@
 from cowslipshift.platform import store as stores
 from cowslipshift.platform import translation
 from cowslipshift.steering import accounts
-from cowslipshift.steering import changes
 from cowslipshift.steering import desk as desks
+from cowslipshift.steering import meters
 from cowslipshift.steering import model
 from cowslipshift.steering import presence as presences
 from cowslipshift.steering import rollouts
@@ -70,16 +71,6 @@
 BACKLOG = 512
 
 
-_EVENTS: dict[type[changes.Change], str] = {
-    changes.PlanChange: "plan_changed",
-    changes.BackendChange: "backend_changed",
-    changes.OrderChange: "rollout_ordered",
-    changes.StageChange: "rollout_stage",
-    changes.EvacuationChange: "evacuation_changed",
-    changes.MemberChange: "member_changed",
-}
-
-
 class EdgeService(aiomisc.Service):
     """One host as a service of the event loop."""
 
@@ -177,7 +168,7 @@
             self.bounds.budget_slack,
             self.bounds.budget_window_s,
             accounts.AccountDesk(
-                accounts.Terms(
+                meters.Terms(
                     self.bounds.quota_window_s,
                     self.bounds.quota_overshoot,
                     self.bounds.quota_slack,
@@ -333,42 +324,8 @@
             )
             return
         if change is not None and self._desk.apply(change, now):
-            self._log_change(change, item.revision)
-
-    def _log_change(self, change: changes.Change, revision: int) -> None:
-        fields: dict[str, object] = {"revision": revision}
-        if isinstance(change, changes.PlanChange):
-            fields["version"] = change.plan.version
-            fields["routes"] = len(change.plan.routes)
-        elif isinstance(change, changes.BackendChange):
-            fields["backend"] = change.id
-            if change.backend is not None:
-                entry = change.backend
-                fields["service"] = entry.service
-                fields["version"] = entry.version
-                fields["data_centre"] = entry.data_centre
-                fields["draining"] = entry.is_draining
-                fields["cold_s"] = entry.cold_s
-            else:
-                fields["gone"] = True
-        elif isinstance(change, changes.EvacuationChange):
-            fields["data_centre"] = change.data_centre
-            fields["active"] = change.is_active
-        elif isinstance(change, changes.MemberChange):
-            fields["member"] = change.name
-            fields["gone"] = change.member is None
-        elif isinstance(change, changes.OrderChange):
-            fields["service"] = change.service
-            if change.order is not None:
-                fields["target"] = change.order.version
-                fields["ramp_s"] = change.order.ramp_s
-        else:
-            fields["service"] = change.service
-            if change.stage is not None:
-                fields["state"] = change.stage.state
-                fields["step"] = change.stage.step
-                fields["reason"] = change.stage.reason
-        self._log.info(_EVENTS[type(change)], **fields)
+            event, fields = beliefs.describe_change(change)
+            self._log.info(event, revision=item.revision, **fields)
 
     def _note_unstable(self) -> None:
         now = self._clock.now()
--- a/src/cowslipshift/steering/accounts.py
+++ b/src/cowslipshift/steering/accounts.py
@@ -1,39 +1,19 @@
-"""Holds client accounts to their rate and burst over all hosts together.
+"""Holds client accounts to their limits over all hosts together.
 
-What an account may send in any window is its rate times the window plus its
-burst. Each host counts its own admissions in the window and hears the
-others' counts. Far below the limit everything is admitted, so an account
-within its rate is never refused for the way its requests fall on hosts.
-Near the limit each host admits, from one word to the next, its share of the
-room that is left, in proportion to what it is asked for. The shares sum to
-one, so the room is not spent twice.
+Each host counts its own admissions and hears the others' counts.
 """
 
 from __future__ import annotations
 
-import collections
-import math
 from typing import TYPE_CHECKING
 
-import msgspec
+from cowslipshift.steering import meters
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
     from cowslipshift.steering import model
 
-FREE_PART = 0.75
-"""Part of the limit below which nothing is refused."""
-
-SPARE_PART = 0.35
-"""Part of the tolerated excess that is given to callers; the rest covers
-what hosts have not yet heard of each other."""
-
-EVEN_PART = 0.3
-"""Part of the room that is shared evenly, whatever the demand."""
-
-SLOT_S = 0.25
-DEMAND_WINDOW_S = 1.0
 DUE_AFTER_S = 0.5
 """Silence after which a host is taken to admit on at its last pace."""
 
@@ -44,292 +24,10 @@
 """How long a silent host's part stays reserved: it may be cut off and admit
 on. Afterwards it is taken to be gone."""
 
-FIRST_PART = 0.5
-"""Part of the limit that a restarted host grants at first: what its
-forerunner admitted is not known."""
-
-MIN_RETRY_AFTER_S = 0.2
-MAX_RETRY_AFTER_S = 2.0
-NEWS_PART = 0.02
-"""Part of a host's even part of the limit that is worth a report: all hosts
-together leave less than that of the limit untold."""
-
-SUDDEN_PART = 0.4
-"""Change of the demand, as a part of what was told, that is worth a report
-while an account fills: it sets the shares."""
-
-WORDS_PER_REPORT = 8
-"""Words after which a count is told again: a word may have been lost."""
-
 WHOLE_AFTER_SILENCE_S = 2.0
 """How long after others were silent all counts are told: those who were cut
 off have missed the news."""
 
-FILLING_PART = 0.4
-"""Part of the limit from which the others are to hear of it at once."""
-
-URGENT_PART = 0.08
-"""Part of the limit that all hosts may admit before they hear of it."""
-
-
-class Usage(msgspec.Struct, frozen=True):
-    """What one host admitted and was asked for on one account.
-
-    Attributes:
-        account: Name of the account.
-        admitted: Requests admitted in the last window.
-        demand: Requests per second that it was asked for lately.
-    """
-
-    account: str
-    admitted: int
-    demand: float
-
-
-class Silence(msgspec.Struct, frozen=True):
-    """Which of the other hosts were not heard lately.
-
-    Attributes:
-        hosts: Hosts that may admit requests, the own one included.
-        names: Those that are silent.
-        late: Seconds that a word of others, not yet silent, is overdue.
-    """
-
-    hosts: int = 1
-    names: frozenset[str] = frozenset()
-    late: dict[str, float] = {}
-
-
-class Terms(msgspec.Struct, frozen=True):
-    """How operators count the limits of accounts.
-
-    Attributes:
-        window_s: Window in which requests are counted.
-        overshoot: Part of a limit that may be exceeded.
-        slack: Requests that may be exceeded besides.
-    """
-
-    window_s: float
-    overshoot: float = 0.0
-    slack: float = 0.0
-
-
-class _Peer:
-    __slots__ = ("admitted", "demand", "heard_s")
-
-    def __init__(self, usage: Usage, now: float) -> None:
-        self.admitted = usage.admitted
-        self.demand = usage.demand
-        self.heard_s = now
-
-
-class _Window:
-    """Counts what happened in a sliding window."""
-
-    __slots__ = ("_slots", "_window_s", "total")
-
-    def __init__(self, window_s: float) -> None:
-        self._window_s = window_s
-        self._slots: collections.deque[list[float]] = collections.deque()
-        self.total = 0
-
-    def add(self, now: float) -> None:
-        """Count one."""
-        if self._slots and now - self._slots[-1][0] < SLOT_S:
-            self._slots[-1][1] += 1
-        else:
-            self._slots.append([now, 1])
-        self.total += 1
-
-    def measure(self, now: float) -> int:
-        """Return the count; a slot leaves when all of it is too old."""
-        while self._slots and (
-            now - self._slots[0][0] > self._window_s + SLOT_S
-        ):
-            self.total -= int(self._slots.popleft()[1])
-        return self.total
-
-
-class AccountMeter:
-    """The window of one account as one host sees it.
-
-    Args:
-        account: The account.
-        terms: How its limit is counted.
-        is_restart: Whether the account was in use before this host started.
-        now: Present time.
-    """
-
-    __slots__ = (
-        "_demand",
-        "_demand_s",
-        "_is_filling",
-        "_limit",
-        "_own",
-        "_peers",
-        "_spent",
-        "_started_s",
-        "_terms",
-        "_told",
-        "_told_demand",
-        "_window_s",
-        "_words",
-        "name",
-    )
-
-    def __init__(
-        self,
-        account: model.Account,
-        terms: Terms,
-        is_restart: bool,
-        now: float,
-    ) -> None:
-        self.name = account.name
-        self._terms = terms
-        self._window_s = terms.window_s
-        self._started_s = now if is_restart else -math.inf
-        self._own = _Window(terms.window_s)
-        self._peers: dict[str, Usage] = {}
-        self._demand = 0.0
-        self._demand_s = now
-        self._is_filling = False
-        self._spent = 0
-        self._told = 0
-        self._told_demand = 0.0
-        self._words = 0
-        self._limit = 0.0
-        self.set_terms(account)
-
-    def set_terms(self, account: model.Account) -> None:
-        """Put another rate and burst in force; no rate means no limit."""
-        self._limit = 0.0
-        if account.rate > 0.0:
-            paid = account.rate * self._window_s + account.burst
-            spare = paid * self._terms.overshoot + self._terms.slack
-            self._limit = paid + SPARE_PART * spare
-
-    def try_admit(self, now: float, silence: Silence) -> float:
-        """Admit a request if the account has room.
-
-        Args:
-            now: Present time.
-            silence: Which hosts were not heard lately.
-
-        Returns:
-            0 when it is admitted, else seconds until there is room.
-        """
-        self._note_demand(now)
-        if self._limit > 0.0:
-            limit = self.measure_limit(now)
-            used = self.measure_used(now, silence)
-            share = self._measure_share(now, silence)
-            # A host whose word is overdue is taking its part of the room.
-            room = (limit - used) * self._measure_heard(now, silence)
-            # What it admitted since its last word is in the count already.
-            part = share * (room + self._spent)
-            if used >= FREE_PART * limit and self._spent + 1 > part:
-                return _clamp(self._window_s / max(share * limit, 0.01))
-            self._is_filling = used >= FILLING_PART * limit
-        self._own.add(now)
-        self._spent += 1
-        return 0.0
-
-    def _measure_share(self, now: float, silence: Silence) -> float:
-        own = self._measure_demand(now)
-        heard = max(1, silence.hosts - len(silence.names))
-        total = own + sum(
-            usage.demand
-            for name, usage in self._peers.items()
-            if name not in silence.names
-        )
-        by_demand = own / total if total > 0.0 else 1.0 / heard
-        return EVEN_PART / heard + (1.0 - EVEN_PART) * by_demand
-
-    def _measure_heard(self, now: float, silence: Silence) -> float:
-        own = self._measure_demand(now)
-        total = own + sum(usage.demand for usage in self._peers.values())
-        overdue = sum(
-            self._peers[name].demand
-            for name in silence.late
-            if name in self._peers
-        )
-        return 1.0 - overdue / total if total > 0.0 else 1.0
-
-    def report(self, now: float, hosts: int, is_whole: bool) -> Usage | None:
-        """Return what the others are to know, and begin another round.
-
-        Most words leave an account out, since its count has hardly changed:
-        with many hosts the counts are most of what hosts send each other.
-
-        Args:
-            now: Present time.
-            hosts: Hosts that may admit requests, this one included.
-            is_whole: Whether to report without news.
-        """
-        self._spent = 0
-        admitted = self._own.measure(now)
-        self._words += 1
-        change = abs(admitted - self._told)
-        least = max(1.0, NEWS_PART * self._limit / max(1, hosts))
-        is_due = is_whole or self._words >= WORDS_PER_REPORT
-        is_due = is_due and bool(admitted or self._told)
-        demand = self._measure_demand(now)
-        is_sudden = abs(demand - self._told_demand) > 1.0 + SUDDEN_PART * (
-            self._told_demand
-        )
-        is_news = change >= least or (is_sudden and self._is_filling)
-        if not is_due and not is_news:
-            return None
-        self._told = admitted
-        self._told_demand = demand
-        self._words = 0
-        return Usage(self.name, admitted, demand)
-
-    def note_peer(self, host: str, usage: Usage) -> None:
-        """Take what another host admitted."""
-        self._peers[host] = usage
-
-    def forget_peer(self, host: str) -> None:
-        """Forget a host that is gone."""
-        self._peers.pop(host, None)
-
-    def is_urgent(self, hosts: int) -> bool:
-        """Tell whether the others should hear of this account at once."""
-        unsaid = self._spent * max(1, hosts)
-        return self._is_filling and unsaid > URGENT_PART * self._limit
-
-    def measure_limit(self, now: float) -> float:
-        """Return the requests allowed in a window."""
-        age = (now - self._started_s) / self._window_s
-        if age >= 1.0:
-            return self._limit
-        return self._limit * (FIRST_PART + (1.0 - FIRST_PART) * age)
-
-    def measure_used(self, now: float, silence: Silence) -> float:
-        """Return the requests that all hosts admitted in the window.
-
-        A silent host may be cut off and go on admitting. It is taken to use
-        what it last told, or its even part if that is more.
-        """
-        used = float(self._own.measure(now))
-        for name, usage in self._peers.items():
-            if name not in silence.names:
-                overdue_s = silence.late.get(name, 0.0)
-                used += usage.admitted + usage.demand * overdue_s
-        even = self.measure_limit(now) / max(1, silence.hosts)
-        for name in silence.names:
-            told = self._peers.get(name)
-            used += max(even, told.admitted if told is not None else 0)
-        return used
-
-    def _note_demand(self, now: float) -> None:
-        self._demand = self._measure_demand(now) + 1.0 / DEMAND_WINDOW_S
-        self._demand_s = now
-
-    def _measure_demand(self, now: float) -> float:
-        passed_s = max(0.0, now - self._demand_s)
-        return self._demand * math.exp(-passed_s / DEMAND_WINDOW_S)
-
 
 class AccountDesk:
     """The meters of all accounts on one host.
@@ -349,32 +47,34 @@
         "_whole_until_s",
     )
 
-    def __init__(self, terms: Terms, is_restart: bool, now: float) -> None:
+    def __init__(
+        self, terms: meters.Terms, is_restart: bool, now: float
+    ) -> None:
         self._terms = terms
         self._started_s = now
         self._whole_until_s = now
         self._heard_s: dict[str, float] = {}
         self._is_restart = is_restart
-        self._meters: dict[str, AccountMeter] = {}
+        self._meters: dict[str, meters.AccountMeter] = {}
 
     def apply(self, accounts: Iterable[model.Account], now: float) -> None:
         """Follow the configuration; admissions are not forgotten."""
         for account in accounts:
             meter = self._meters.get(account.name)
             if meter is None:
-                self._meters[account.name] = AccountMeter(
+                self._meters[account.name] = meters.AccountMeter(
                     account, self._terms, self._is_restart, now
                 )
             else:
                 meter.set_terms(account)
 
-    def find_meter(self, account: str) -> AccountMeter | None:
+    def find_meter(self, account: str) -> meters.AccountMeter | None:
         """Return the meter of an account."""
         return self._meters.get(account)
 
     def list_reports(
         self, now: float, announced: set[str], stretch: float = 1.0
-    ) -> list[Usage]:
+    ) -> list[meters.Usage]:
         """Return what the others are to know, of accounts in use.
 
         Args:
@@ -393,7 +93,7 @@
         return [usage for usage in reports if usage is not None]
 
     def note_reports(
-        self, host: str, reports: Iterable[Usage], now: float
+        self, host: str, reports: Iterable[meters.Usage], now: float
     ) -> None:
         """Take what another host admitted, of accounts with news."""
         self._heard_s[host] = now
@@ -404,7 +104,7 @@
 
     def find_silence(
         self, now: float, announced: set[str], stretch: float = 1.0
-    ) -> Silence:
+    ) -> meters.Silence:
         """Return which hosts were not heard lately.
 
         Args:
@@ -428,8 +128,4 @@
                 names.add(host)
             elif DUE_AFTER_S < age_s <= SILENT_AFTER_S:
                 late[host] = age_s - DUE_AFTER_S
-        return Silence(len(hosts) + 1, frozenset(names), late)
-
-
-def _clamp(seconds: float) -> float:
-    return min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, seconds))
+        return meters.Silence(len(hosts) + 1, frozenset(names), late)
--- /dev/null
+++ b/src/cowslipshift/steering/calls.py
@@ -0,0 +1,73 @@
+"""A request on its way, and where it may go next."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+
+if TYPE_CHECKING:
+    from cowslipshift.steering import backends
+    from cowslipshift.steering import model
+
+
+class Choice(msgspec.Struct):
+    """A backend server for one attempt.
+
+    Attributes:
+        expected_s: Predicted time until its answer.
+        usual_s: What it would take at a server that is not slow, as far
+            as this host knows the server's warmth.
+        is_warm: Whether the server is thought to be warm for the object.
+        is_known_warm: Whether this host has seen that it is.
+        position: Place in the order of preference; 0 is the first.
+        load: Its estimated load.
+        queue_s: Part of the prediction that is spent waiting.
+    """
+
+    state: backends.BackendState
+    expected_s: float
+    usual_s: float
+    is_warm: bool
+    is_known_warm: bool
+    position: int
+    load: float
+    queue_s: float
+
+
+class Refusal(msgspec.Struct, frozen=True):
+    """No server can take the request now.
+
+    Attributes:
+        reason: A short code.
+        retry_after_s: When there will be room, as far as is known.
+        best: The best of the servers that were weighed, if any was.
+    """
+
+    reason: str
+    retry_after_s: float
+    best: Choice | None = None
+
+
+class Call(msgspec.Struct):
+    """A request on its way.
+
+    Attributes:
+        id: The caller's id of the request.
+        thing: The object that it concerns, or empty.
+        deadline_s: Monotonic time by which it must be answered.
+        regions: Regions that may serve it; ``None`` for all.
+        is_new: Whether the new version of a roll-out is to run it.
+        tried: Backend servers that it was sent to, or tried to be.
+    """
+
+    id: str
+    route: model.Route
+    account: model.Account | None
+    thing: str
+    service: str
+    arrived_s: float
+    deadline_s: float
+    regions: frozenset[str] | None
+    is_new: bool
+    tried: set[str]
--- a/src/cowslipshift/steering/desk.py
+++ b/src/cowslipshift/steering/desk.py
@@ -4,11 +4,10 @@
 
 from typing import TYPE_CHECKING
 
-import msgspec
-
 from cowslipshift.coordination import budgets
 from cowslipshift.coordination import hashing
 from cowslipshift.steering import backends
+from cowslipshift.steering import calls
 from cowslipshift.steering import changes
 from cowslipshift.steering import placement
 from cowslipshift.steering import rollouts
@@ -18,6 +17,7 @@
 
 if TYPE_CHECKING:
     from cowslipshift.steering import accounts
+    from cowslipshift.steering import meters
     from cowslipshift.steering import model
     from cowslipshift.steering import presence as presences
 
@@ -57,68 +57,6 @@
 the platform says about two seconds."""
 
 
-class Choice(msgspec.Struct):
-    """A backend server for one attempt.
-
-    Attributes:
-        expected_s: Predicted time until its answer.
-        usual_s: What it would take at a server that is not slow, as far
-            as this host knows the server's warmth.
-        is_warm: Whether the server is thought to be warm for the object.
-        is_known_warm: Whether this host has seen that it is.
-        position: Place in the order of preference; 0 is the first.
-        load: Its estimated load.
-        queue_s: Part of the prediction that is spent waiting.
-    """
-
-    state: backends.BackendState
-    expected_s: float
-    usual_s: float
-    is_warm: bool
-    is_known_warm: bool
-    position: int
-    load: float
-    queue_s: float
-
-
-class Refusal(msgspec.Struct, frozen=True):
-    """No server can take the request now.
-
-    Attributes:
-        reason: A short code.
-        retry_after_s: When there will be room, as far as is known.
-        best: The best of the servers that were weighed, if any was.
-    """
-
-    reason: str
-    retry_after_s: float
-    best: Choice | None = None
-
-
-class Call(msgspec.Struct):
-    """A request on its way.
-
-    Attributes:
-        id: The caller's id of the request.
-        thing: The object that it concerns, or empty.
-        deadline_s: Monotonic time by which it must be answered.
-        regions: Regions that may serve it; ``None`` for all.
-        is_new: Whether the new version of a roll-out is to run it.
-        tried: Backend servers that it was sent to, or tried to be.
-    """
-
-    id: str
-    route: model.Route
-    account: model.Account | None
-    thing: str
-    service: str
-    arrived_s: float
-    deadline_s: float
-    regions: frozenset[str] | None
-    is_new: bool
-    tried: set[str]
-
-
 class Desk:
     """The decisions of one host.
 
@@ -299,7 +237,7 @@
         name = self.plan.accounts_by_key.get(key)
         return None if name is None else self.plan.accounts.get(name)
 
-    def find_silence(self, now: float) -> accounts.Silence:
+    def find_silence(self, now: float) -> meters.Silence:
         """Return which hosts were not heard lately."""
         announced = {member.name for member in self.presence.list_peers()}
         return self.accounts.find_silence(
@@ -314,12 +252,12 @@
         thing: str,
         deadline_s: float,
         now: float,
-    ) -> Call:
+    ) -> calls.Call:
         """Begin a request: choose its service and version."""
         service = self._splitters[route.name].choose_service()
         rollout = self.rollouts.get(service)
         self._get_budget(service).note_attempt(self._retry_ratio)
-        return Call(
+        return calls.Call(
             id=request_id,
             route=route,
             account=account,
@@ -332,7 +270,9 @@
             tried=set(),
         )
 
-    def choose_backend(self, call: Call, now: float) -> Choice | Refusal:
+    def choose_backend(
+        self, call: calls.Call, now: float
+    ) -> calls.Choice | calls.Refusal:
         """Choose where the next attempt of a request goes."""
         usable = [
             state
@@ -343,7 +283,7 @@
         if not started and self._may_stay_old(call):
             call.is_new = False
             return self.choose_backend(call, now)
-        best: Choice | None = None
+        best: calls.Choice | None = None
         for position, state in enumerate(started[:CANDIDATES]):
             choice = self._predict(call, state, position, now)
             if best is None or choice.expected_s < best.expected_s:
@@ -351,12 +291,12 @@
         if best is None:
             best = self._choose_cold(call, usable, now)
         if best is None:
-            return Refusal("no_backend", MIN_RETRY_AFTER_S * 5)
+            return calls.Refusal("no_backend", MIN_RETRY_AFTER_S * 5)
         left_s = call.deadline_s - now
         wait_s = best.expected_s - left_s
         # What is only presumed of the work itself refuses nobody.
         if best.queue_s > 0.0 and wait_s > 0.0:
-            return Refusal(
+            return calls.Refusal(
                 "no_room",
                 min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, wait_s)),
                 best,
@@ -375,24 +315,28 @@
             budget.limit_reserve(self._most_retries)
             budget.note_attempt(self._retry_slack * passed_s / hosts)
 
-    def learn(self, call: Call, choice: Choice, took_s: float) -> None:
+    def learn(
+        self, call: calls.Call, choice: calls.Choice, took_s: float
+    ) -> None:
         """Learn from an answer that the server made."""
         if choice.load < choice.state.entry.slots:
             self._works[call.route.name].learn(took_s, choice.is_known_warm)
 
-    def note_outcome(self, call: Call, version: str, is_bad: bool) -> bool:
+    def note_outcome(
+        self, call: calls.Call, version: str, is_bad: bool
+    ) -> bool:
         """Count an answer for the roll-out of its service, if any."""
         rollout = self.rollouts.get(call.service)
         return rollout is not None and rollout.note_answer(version, is_bad)
 
-    def _may_stay_old(self, call: Call) -> bool:
+    def _may_stay_old(self, call: calls.Call) -> bool:
         """Tell whether the old version may run what the new one cannot."""
         rollout = self.rollouts.get(call.service)
         if rollout is None or not call.is_new:
             return False
         return rollout.measure_share() < 1.0
 
-    def _rank(self, call: Call) -> list[backends.BackendState]:
+    def _rank(self, call: calls.Call) -> list[backends.BackendState]:
         key = (call.service, call.thing or call.id)
         known = self._orders.get(key)
         if known is None:
@@ -414,7 +358,7 @@
         return known
 
     def _is_usable(
-        self, state: backends.BackendState, call: Call, now: float
+        self, state: backends.BackendState, call: calls.Call, now: float
     ) -> bool:
         entry = state.entry
         if state.leaves or entry.id in call.tried:
@@ -431,11 +375,11 @@
 
     def _predict(
         self,
-        call: Call,
+        call: calls.Call,
         state: backends.BackendState,
         position: int,
         now: float,
-    ) -> Choice:
+    ) -> calls.Choice:
         work = self._works[call.route.name]
         is_known_warm = not call.thing or state.is_warm_for(call.thing, now)
         is_warm = is_known_warm or position == 0
@@ -445,7 +389,7 @@
         queue_s = state.estimate_wait(now, work.warm_s)
         work_s = usual_s * state.estimate_slowness(now)
         expected_s = hop_s + queue_s + work_s
-        return Choice(
+        return calls.Choice(
             state,
             expected_s,
             hop_s + queue_s + work.get_usual(is_known_warm),
@@ -458,10 +402,10 @@
 
     def _choose_cold(
         self,
-        call: Call,
+        call: calls.Call,
         usable: list[backends.BackendState],
         now: float,
-    ) -> Choice | None:
+    ) -> calls.Choice | None:
         assert self.plan is not None
         service = self.plan.services.get(call.service)
         rate = service.cold_rate if service is not None else 1.0
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -15,8 +15,10 @@
 from cowslipshift.serving import idempotency
 from cowslipshift.standins import shapes
 from cowslipshift.steering import accounts as account_desks
+from cowslipshift.steering import calls
 from cowslipshift.steering import changes
 from cowslipshift.steering import desk as desks
+from cowslipshift.steering import meters
 from cowslipshift.steering import model as steering
 from cowslipshift.steering import presence as presences
 
@@ -222,9 +224,7 @@
         0.2,
         60.0,
         10.0,
-        account_desks.AccountDesk(
-            account_desks.Terms(5.0, 0.1, 20.0), False, now
-        ),
+        account_desks.AccountDesk(meters.Terms(5.0, 0.1, 20.0), False, now),
     )
     for peer in peers:
         desk.apply(changes.MemberChange(peer, build_member(peer)), now)
@@ -237,7 +237,7 @@
 
 def open_call(
     desk: desks.Desk, thing: str = "x", now: float = 0.0, **fields: Any
-) -> desks.Call:
+) -> calls.Call:
     """Begin a request at a desk."""
     assert desk.plan is not None
     route = desk.plan.routes[fields.pop("route", 0)]
--- a/tests/steering/test_accounts.py
+++ b/tests/steering/test_accounts.py
@@ -9,15 +9,16 @@
 import pytest
 
 from cowslipshift.steering import accounts
+from cowslipshift.steering import meters
 from cowslipshift.steering import model
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-TERMS = accounts.Terms(window_s=5.0, overshoot=0.1, slack=20.0)
+TERMS = meters.Terms(window_s=5.0, overshoot=0.1, slack=20.0)
 TELL_S = 0.4
 HOSTS = 10
-ALONE = accounts.Silence(1)
+ALONE = meters.Silence(1)
 
 
 class Fleet:
@@ -138,14 +139,12 @@
 
 
 def test_restarted_hosts_grant_less_at_first() -> None:
-    fresh = [
-        accounts.AccountMeter(ACCOUNT, TERMS, True, 0.0) for _ in range(2)
-    ]
+    fresh = [meters.AccountMeter(ACCOUNT, TERMS, True, 0.0) for _ in range(2)]
     counts = []
     for meter in fresh:
         counts.append(
             sum(
-                meter.try_admit(0.0, accounts.Silence(HOSTS)) == 0.0
+                meter.try_admit(0.0, meters.Silence(HOSTS)) == 0.0
                 for _ in range(1000)
             )
         )
@@ -154,7 +153,7 @@
 
 
 def test_no_rate_means_no_limit_and_a_lower_limit_binds_at_once() -> None:
-    meter = accounts.AccountMeter(
+    meter = meters.AccountMeter(
         model.Account("a", 1, 0.0, 0.0), TERMS, False, 0.0
     )
     assert all(meter.try_admit(0.0, ALONE) == 0.0 for _ in range(5000))
--- a/tests/steering/test_desk.py
+++ b/tests/steering/test_desk.py
@@ -7,6 +7,7 @@
 import pytest
 from tests import builders
 
+from cowslipshift.steering import calls
 from cowslipshift.steering import changes
 from cowslipshift.steering import desk as desks
 from cowslipshift.steering import model
@@ -51,7 +52,7 @@
     for state in desk.backends.values():
         state.in_flight = 100
     refusal = choose(desk)
-    assert isinstance(refusal, desks.Refusal)
+    assert isinstance(refusal, calls.Refusal)
     assert refusal.reason == "no_room"
     assert refusal.retry_after_s > 0.0
 
@@ -61,7 +62,7 @@
     desk = builders.build_desk(
         backends=SERVERS, plan=builders.build_plan(route)
     )
-    assert isinstance(choose(desk, left_s=0.5), desks.Choice)
+    assert isinstance(choose(desk, left_s=0.5), calls.Choice)
 
 
 def test_allowed_regions_of_route_and_account_both_bind() -> None:
@@ -120,7 +121,7 @@
     desk.note_unstable(10.0)
     for server in SERVERS:
         desk.apply(changes.BackendChange(server.id, None), 10.5)
-    assert isinstance(choose(desk, now=10.6), desks.Choice)
+    assert isinstance(choose(desk, now=10.6), calls.Choice)
     desk.apply(changes.BackendChange(SERVERS[0].id, SERVERS[0]), 11.0)
     assert desk.drop_lapsed(11.5) == []
     assert len(desk.drop_lapsed(12.3)) == len(SERVERS) - 1
@@ -175,7 +176,7 @@
         now = step / 100
         for number, desk in enumerate(fleet):
             choice = choose(desk, f"{step}{number}", now)
-            if isinstance(choice, desks.Choice):
+            if isinstance(choice, calls.Choice):
                 sent[choice.state.entry.id].append(now)
     assert sent
     for times in sent.values():
