--- a/src/cowslipshift/standins/platformfleet.py
+++ b/src/cowslipshift/standins/platformfleet.py
@@ -29,6 +29,7 @@
 PLACES = {"north-a": "north", "south-a": "south"}
 POLL_S = 0.02
 WAIT_S = 10.0
+CLOSE_TIMEOUT_S = 0.1
 
 
 def build_config(version: int = 1, **changes: Any) -> bytes:
@@ -266,7 +267,10 @@
 
     async def _serve(self, application: web.Application) -> str:
         runner = web.AppRunner(
-            application, access_log=None, handler_cancellation=True
+            application,
+            access_log=None,
+            handler_cancellation=True,
+            shutdown_timeout=CLOSE_TIMEOUT_S,
         )
         await runner.setup()
         self._runners.append(runner)
--- /dev/null
+++ b/tests/platform/test_codec.py
@@ -0,0 +1,137 @@
+"""What the platform writes, read strictly one entry at a time."""
+
+from __future__ import annotations
+
+import msgspec
+import pytest
+
+from cowslipshift.platform import codec
+from cowslipshift.platform import exceptions
+from cowslipshift.platform import ingress
+from cowslipshift.platform import names
+from cowslipshift.platform import settings
+from cowslipshift.platform import translation
+from cowslipshift.standins import platformbackend
+from cowslipshift.standins import platformfleet
+from cowslipshift.steering import changes
+from cowslipshift.store import interface
+
+
+def test_configuration_is_read_into_named_units() -> None:
+    plan = codec.decode_plan(platformfleet.build_config(18))
+    assert plan.version == 18
+    read, write = plan.routes
+    assert (read.is_idempotent, write.is_idempotent) == (True, False)
+    assert (read.timeout_s, read.target_s) == (0.8, 0.3)
+    assert read.parts[0].service == platformfleet.READ_SERVICE
+    assert plan.accounts_by_key == {platformfleet.KEY: platformfleet.ACCOUNT}
+    assert plan.services[platformfleet.READ_SERVICE].cold_rate == 4.0
+
+
+@pytest.mark.parametrize(
+    "spoil",
+    [
+        lambda c: c.pop("version"),
+        lambda c: c.update(version="not hex"),
+        lambda c: c["virtual_hosts"][0]["paths"][0].update(type="sometimes"),
+        lambda c: c["virtual_hosts"][0]["paths"][0].pop("timeout_ms"),
+        lambda c: c.update(services="none"),
+        lambda c: c["tenants"][0].update(rate_per_s="many"),
+    ],
+)
+def test_invalid_configuration_is_refused_whole(spoil) -> None:
+    config = msgspec.json.decode(platformfleet.build_config())
+    spoil(config)
+    with pytest.raises(exceptions.MalformedEntryError):
+        codec.decode_plan(msgspec.json.encode(config))
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"address": "nowhere"},
+        {"address": 7},
+        {"status": {"state": "resting", "seq": 1}},
+        {"info": {"service": "sheets"}},
+        {
+            "info": {
+                "service": "sheets",
+                "zone": "north-a",
+                "version": "v1",
+                "concurrency": 0,
+            }
+        },
+    ],
+)
+def test_forged_server_names_none(change) -> None:
+    stand_in = platformbackend.PlatformBackendStandIn("s", 3)
+    raw = stand_in.build_entry("10.0.0.1:80", "sheets", "north-a")
+    entry = msgspec.json.decode(raw)
+    assert codec.decode_backend("s", raw).slots == 3
+    with pytest.raises(exceptions.MalformedEntryError):
+        codec.decode_backend("s", msgspec.json.encode({**entry, **change}))
+
+
+def test_keys_tell_what_changed_and_unknown_ones_nothing() -> None:
+    gone = interface.Item(names.BACKEND_PREFIX + "s", None, 4)
+    assert translation.translate_item(gone) == changes.BackendChange("s", None)
+    order = b'{"service":"a","target_version":"v2","ramp_s":12}'
+    found = translation.translate_item(
+        interface.Item(names.ROLLOUT_PREFIX + "a", order, 9)
+    )
+    assert isinstance(found, changes.OrderChange)
+    assert found.order is not None
+    assert (found.order.version, found.order.order) == ("v2", 9)
+    other = interface.Item("status/rollout/a", b"{}", 9)
+    assert translation.translate_item(other) is None
+
+
+def test_status_is_one_of_the_three_that_operators_read() -> None:
+    raw = codec.encode_status("v2", "completed")
+    assert msgspec.json.decode(raw) == {
+        "state": "completed",
+        "target_version": "v2",
+    }
+    with pytest.raises(ValueError, match="no state"):
+        codec.encode_status("v2", "perhaps")
+
+
+def test_headers_of_one_connection_and_the_key_stay_behind() -> None:
+    headers = dict(
+        ingress.build_headers(
+            [
+                ("Connection", "close, X-Hop"),
+                ("X-Hop", "1"),
+                ("Transfer-Encoding", "chunked"),
+                (names.KEY, "secret"),
+                (names.ACCOUNT, "forged"),
+                (names.REQUEST_ID, "r1"),
+                ("X-Kept", "2"),
+            ],
+            0.5,
+            "i-1",
+            "workshop",
+        )
+    )
+    assert headers == {
+        names.REQUEST_ID: "r1",
+        "X-Kept": "2",
+        names.DEADLINE_MS: "500",
+        names.INSTANCE: "i-1",
+        names.ACCOUNT: "workshop",
+    }
+
+
+@pytest.mark.parametrize("text", ["", "-5", "soon", "9" * 400])
+def test_senseless_deadlines_are_borne(text) -> None:
+    said = ingress.read_request({names.DEADLINE_MS: text})
+    assert 0.0 <= said.deadline_s <= 3600.0
+
+
+@pytest.mark.parametrize(
+    "text",
+    ["", "node_name = ", 'node_name = "x"', 'bounds = ["grace_s=soon"]'],
+)
+def test_half_a_settings_file_is_told(text) -> None:
+    with pytest.raises(exceptions.PlatformSettingsError):
+        settings.parse_settings(text)
