Remove what nothing reads

RouteTable.has_host, Choice.is_warm, a parameter of Attempts._answer and one of Desk.refill_budgets, times kept of lapsed entries, and unstable_s, which every word carried and no receiver read. Behaviour is the same.

--- a/bench/emulator.py
+++ b/bench/emulator.py
@@ -224,7 +224,7 @@
     def _refill(self) -> None:
         for listed in self._hosts.values():
             for desk in listed:
-                desk.refill_budgets(0.1, self._now)
+                desk.refill_budgets(0.1)
 
     def _ask(self, region: str, length_s: float) -> None:
         if self._now >= length_s:
--- a/bench/policies.py
+++ b/bench/policies.py
@@ -56,13 +56,11 @@
 def _set_constants(constants: dict[str, float]) -> Iterator[None]:
     homes = {"HOME_LEAN": placement, "CANDIDATES": desks}
     kept = {name: getattr(homes[name], name) for name in constants}
+    kept_share = placement.share_regions
     if constants.get("HOME_LEAN", 0.0) < 0.0:
         constants = {**constants}
         del constants["HOME_LEAN"]
-        kept_share = placement.share_regions
         placement.share_regions = lambda home, slots, regions: dict(slots)
-    else:
-        kept_share = placement.share_regions
     for name, value in constants.items():
         setattr(homes[name], name, value)
     try:
--- a/bench/steering.py
+++ b/bench/steering.py
@@ -111,7 +111,6 @@
             revision=12_345,
             is_leaving=False,
             has_store=True,
-            unstable_s=0.0,
             usages=usages,
             reports=[],
         )
--- a/src/cowslipshift/edge/attempts.py
+++ b/src/cowslipshift/edge/attempts.py
@@ -106,7 +106,7 @@
         self._sent = 0
         self._bad_connects = 0
         self._may_have_run = False
-        self._last: tuple[upstream.Answer, str] | None = None
+        self._last: upstream.Answer | None = None
 
     async def run(self) -> web.Response:
         """Try until there is an answer to give."""
@@ -137,8 +137,7 @@
 
     def _give_up(self, refusal: calls.Refusal) -> web.Response:
         if self._last is not None:
-            answer, backend = self._last
-            return self._answer(answer, backend)
+            return self._answer(self._last)
         if self._may_have_run:
             raise Refused(
                 504 if refusal.reason == "late" else 502, "outcome_unknown"
@@ -215,7 +214,7 @@
         is_bad = answer.status >= 500
         self._note_answer(choice, took_s, is_bad)
         if is_bad and call.route.is_idempotent:
-            self._last = (answer, state.entry.id)
+            self._last = answer
             return None
         _log.info(
             "answered",
@@ -230,9 +229,9 @@
             config=tools.desk.version,
             **describe_choice(choice, now),
         )
-        return self._answer(answer, state.entry.id)
+        return self._answer(answer)
 
-    def _answer(self, answer: upstream.Answer, backend: str) -> web.Response:
+    def _answer(self, answer: upstream.Answer) -> web.Response:
         took_s = self._tools.clock.now() - self._call.arrived_s
         self._tools.metrics.count_answer(
             self._call.route.name, answer.status, took_s
--- a/src/cowslipshift/edge/messages.capnp
+++ b/src/cowslipshift/edge/messages.capnp
@@ -23,9 +23,8 @@
   revision @2 :UInt64;
   isLeaving @3 :Bool;
   hasStore @4 :Bool;
-  unstableMs @5 :UInt32;
-  usages @6 :List(Usage);
-  rollouts @7 :List(RolloutCounts);
+  usages @5 :List(Usage);
+  rollouts @6 :List(RolloutCounts);
 }
 
 struct StoreItem {
--- a/src/cowslipshift/edge/messages.py
+++ b/src/cowslipshift/edge/messages.py
@@ -37,7 +37,6 @@
     Attributes:
         revision: Store revision that the host has followed up to.
         has_store: Whether the store answered it lately.
-        unstable_s: How long entries that lapse are still to be kept.
         usages: What accounts were admitted.
         reports: What roll-outs looked like.
     """
@@ -47,7 +46,6 @@
     revision: int
     is_leaving: bool
     has_store: bool
-    unstable_s: float
     usages: list[meters.Usage]
     reports: list[RolloutReport]
 
@@ -72,7 +70,6 @@
         revision=word.revision,
         isLeaving=word.is_leaving,
         hasStore=word.has_store,
-        unstableMs=int(max(0.0, word.unstable_s) * 1000),
         usages=[
             {"account": u.account, "admitted": u.admitted, "demand": u.demand}
             for u in word.usages
@@ -108,7 +105,6 @@
             revision=read.revision,
             is_leaving=read.isLeaving,
             has_store=read.hasStore,
-            unstable_s=read.unstableMs / 1000.0,
             usages=[
                 meters.Usage(u.account, u.admitted, u.demand)
                 for u in read.usages
--- a/src/cowslipshift/edge/service.py
+++ b/src/cowslipshift/edge/service.py
@@ -86,7 +86,6 @@
         self._is_leaving = False
         self._lease = 0
         self._told_s = 0.0
-        self._unstable_until_s = 0.0
         self._assemble()
         await self._open_gossip()
         await self._listen_internal()
@@ -328,9 +327,7 @@
             self._log.info(event, revision=item.revision, **fields)
 
     def _note_unstable(self) -> None:
-        now = self._clock.now()
-        self._unstable_until_s = now + desks.UNSTABLE_FOR_S
-        self._desk.note_unstable(now)
+        self._desk.note_unstable(self._clock.now())
 
     def _take_word(self, word: messages.Word) -> None:
         now = self._clock.now()
@@ -372,7 +369,6 @@
             revision=self._watcher.view.revision,
             is_leaving=self._is_leaving,
             has_store=self._watcher.has_store,
-            unstable_s=max(0.0, self._unstable_until_s - now),
             usages=self._desk.accounts.list_reports(
                 now,
                 {member.name for member in peers},
@@ -420,7 +416,7 @@
                     "paused", late_s=passed_s, stood_s=stood_s - was_s
                 )
                 self._watcher.request_reread()
-            self._desk.refill_budgets(passed_s, now)
+            self._desk.refill_budgets(passed_s)
             for identity in self._desk.drop_lapsed(now):
                 self._log.info("lapsed_dropped", backend=identity)
             if now - self._told_s >= self._presence.get_interval():
--- a/src/cowslipshift/steering/calls.py
+++ b/src/cowslipshift/steering/calls.py
@@ -18,7 +18,6 @@
         expected_s: Predicted time until its answer.
         usual_s: What it would take at a server that is not slow, as far
             as this host knows the server's warmth.
-        is_warm: Whether the server is thought to be warm for the object.
         is_known_warm: Whether this host has seen that it is.
         position: Place in the order of preference; 0 is the first.
         load: Its estimated load.
@@ -28,7 +27,6 @@
     state: backends.BackendState
     expected_s: float
     usual_s: float
-    is_warm: bool
     is_known_warm: bool
     position: int
     load: float
--- a/src/cowslipshift/steering/desk.py
+++ b/src/cowslipshift/steering/desk.py
@@ -96,7 +96,7 @@
         self._services: dict[str, list[backends.BackendState]] = {}
         self._orders: dict[tuple[str, str], list[backends.BackendState]] = {}
         self._cold_sent_s: dict[str, float] = {}
-        self._lapsed: dict[str, float] = {}
+        self._lapsed: set[str] = set()
         self._unstable_until_s = -1e9
 
     @property
@@ -155,7 +155,7 @@
         return True
 
     def _apply_backend(self, entry: model.Backend, now: float) -> bool:
-        self._lapsed.pop(entry.id, None)
+        self._lapsed.discard(entry.id)
         known = self.backends.get(entry.id)
         if known is not None and known.entry.started_ms > entry.started_ms:
             return False
@@ -179,7 +179,7 @@
         if identity not in self.backends:
             return False
         if now < self._unstable_until_s:
-            self._lapsed[identity] = now
+            self._lapsed.add(identity)
             return True
         self._drop(identity)
         return True
@@ -307,7 +307,7 @@
         """Take a retry from the service's budget if there is one."""
         return self._get_budget(service).try_spend()
 
-    def refill_budgets(self, passed_s: float, now: float) -> None:
+    def refill_budgets(self, passed_s: float) -> None:
         """Add this host's part of the retry slack."""
         hosts = self.presence.count_hosts()
         self._most_retries = max(1.0, self._retry_slack * RESERVE_S / hosts)
@@ -393,7 +393,6 @@
             state,
             expected_s,
             hop_s + queue_s + work.get_usual(is_known_warm),
-            is_warm,
             is_known_warm,
             position,
             state.estimate_load(now),
--- a/src/cowslipshift/steering/routes.py
+++ b/src/cowslipshift/steering/routes.py
@@ -34,7 +34,3 @@
             if path.startswith(route.prefix):
                 return route
         return None
-
-    def has_host(self, hostname: str) -> bool:
-        """Tell whether any route is configured for a virtual host."""
-        return hostname.partition(":")[0].lower() in self._by_host
--- a/tests/steering/test_desk.py
+++ b/tests/steering/test_desk.py
@@ -216,7 +216,7 @@
             retries.append(now)
         if step % 10 == 0:
             for each in fleet:
-                each.refill_budgets(0.1, now)
+                each.refill_budgets(0.1)
     for start in range(30):
         span = [at for at in retries if start <= at < start + 10]
         asked = [at for at in requests if start <= at < start + 10]
