One supervisor, one wait for a stop, one split of addresses

edge/ had written again what daemon/ has: tasks that end the process when they die, the wait for SIGTERM that flushes the log, and ip:port. They are now in supervision.py and addresses.py for both. A listener that fails to close was passed over in silence; it leaves a line.

--- a/src/cowslipshift/daemon/main.py
+++ b/src/cowslipshift/daemon/main.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
-import contextlib
 import gc
 import os
 import signal
@@ -14,6 +12,7 @@
 import fire
 import uvloop
 
+from cowslipshift import supervision
 from cowslipshift.daemon import exceptions
 from cowslipshift.daemon import service
 from cowslipshift.daemon import settings as daemon_settings
@@ -73,7 +72,7 @@
         catch_signals=(signal.SIGTERM, signal.SIGINT),
         shutdown_timeout=settings.drain_s + SHUTDOWN_MARGIN_S,
     ) as loop:
-        loop.run_until_complete(_wait_for_stop(loop, handler))
+        loop.run_until_complete(supervision.wait_for_stop(loop, handler))
 
 
 def _tune_collector() -> None:
@@ -86,19 +85,6 @@
     gc.set_threshold(GC_ALLOCATIONS, GC_GENERATIONS, GC_GENERATIONS)
 
 
-async def _wait_for_stop(
-    loop: asyncio.AbstractEventLoop, handler: logs.LineHandler
-) -> None:
-    stopped = asyncio.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stopped.set)
-    while not stopped.is_set():
-        handler.flush()
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(logs.FLUSH_INTERVAL_S):
-                await stopped.wait()
-
-
 def main() -> None:
     """Run the program."""
     fire.Fire(run_daemon, name="cowslipshiftd")
--- a/src/cowslipshift/daemon/service.py
+++ b/src/cowslipshift/daemon/service.py
@@ -11,6 +11,8 @@
 from aiohttp import web
 import aiomisc
 
+from cowslipshift import addresses
+from cowslipshift import supervision
 from cowslipshift.daemon import factory
 from cowslipshift.daemon import host as hosts
 from cowslipshift.daemon import membership
@@ -43,7 +45,7 @@
     async def start(self) -> Any:
         """Assemble the host, listen and start its tasks."""
         self._log = logs.EventLog("service")
-        self._tasks: list[asyncio.Task[None]] = []
+        self._supervisor = supervision.Supervisor(self._log)
         settings = self.settings
         self._assembly = await factory.assemble_host(
             settings, _exit_superseded
@@ -112,16 +114,7 @@
             self._run_table_moves(),
         ]
         for job in jobs:
-            task = asyncio.create_task(job)
-            task.add_done_callback(self._check_task)
-            self._tasks.append(task)
-
-    def _check_task(self, task: asyncio.Task[None]) -> None:
-        """End the process when a task dies: a host must not run in part."""
-        if task.cancelled() or task.exception() is None:
-            return
-        self._log.error("task_failed", reason=repr(task.exception()))
-        os._exit(1)
+            self._supervisor.start(job)
 
     async def _run_table_moves(self) -> None:
         while True:
@@ -162,9 +155,7 @@
             )
 
     async def _close(self) -> None:
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._supervisor.stop()
         await self._caller_runner.cleanup()
         await self._assembly.host.network.close()
         await self._peer_runner.cleanup()
@@ -187,6 +178,6 @@
         shutdown_timeout=CLOSE_TIMEOUT_S,
     )
     await runner.setup()
-    host, port = daemon_settings.split_address(address)
+    host, port = addresses.split_address(address)
     await web.TCPSite(runner, host, port, backlog=1024).start()
     return runner
--- a/src/cowslipshift/daemon/settings.py
+++ b/src/cowslipshift/daemon/settings.py
@@ -97,12 +97,6 @@
     return _build(texts)
 
 
-def split_address(address: str) -> tuple[str, int]:
-    """Split ``ip:port``."""
-    host, _, port = address.rpartition(":")
-    return host.strip("[]"), int(port)
-
-
 def _build(texts: dict[str, str]) -> Settings:
     return Settings(
         name=texts["name"],
--- a/src/cowslipshift/edge/frontdoor.py
+++ b/src/cowslipshift/edge/frontdoor.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 from typing import TYPE_CHECKING
 
 from aiohttp import web
@@ -161,9 +160,3 @@
             body=msgspec.json.encode({"error": refusal.code}),
             headers=ingress.build_refusal(said.id, refusal.retry_after_s),
         )
-
-
-async def close_quietly(runner: web.BaseRunner) -> None:
-    """Close a listener, whatever state it is in."""
-    with contextlib.suppress(OSError):
-        await runner.cleanup()
--- a/src/cowslipshift/edge/gossip.py
+++ b/src/cowslipshift/edge/gossip.py
@@ -6,6 +6,7 @@
 from typing import cast
 from typing import TYPE_CHECKING
 
+from cowslipshift import addresses as addressing
 from cowslipshift.edge import exceptions
 from cowslipshift.edge import messages
 from cowslipshift.telemetry import logs
@@ -67,9 +68,8 @@
             self._log.warn("word_too_large", bytes=len(raw))
             return
         for address in addresses:
-            ip, _, port = address.rpartition(":")
             self._on_bytes("out", len(raw))
-            self._transport.sendto(raw, (ip, int(port)))
+            self._transport.sendto(raw, addressing.split_address(address))
 
     def close(self) -> None:
         """Close the socket."""
--- a/src/cowslipshift/edge/main.py
+++ b/src/cowslipshift/edge/main.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
-import contextlib
 import os
 import signal
 import sys
@@ -11,6 +9,7 @@
 import aiomisc
 import uvloop
 
+from cowslipshift import supervision
 from cowslipshift.edge import service
 from cowslipshift.platform import exceptions
 from cowslipshift.platform import settings as platform_settings
@@ -38,22 +37,10 @@
         catch_signals=(signal.SIGTERM, signal.SIGINT),
         shutdown_timeout=bounds.grace_s + SHUTDOWN_MARGIN_S,
     ) as loop:
-        loop.run_until_complete(_wait_for_stop(loop, handler))
-
-
-async def _wait_for_stop(
-    loop: asyncio.AbstractEventLoop, handler: logs.LineHandler
-) -> None:
-    stopped = asyncio.Event()
-    reloads = logs.EventLog("service")
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stopped.set)
-    loop.add_signal_handler(signal.SIGHUP, _reload, reloads)
-    while not stopped.is_set():
-        handler.flush()
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(logs.FLUSH_INTERVAL_S):
-                await stopped.wait()
+        loop.add_signal_handler(
+            signal.SIGHUP, _reload, logs.EventLog("service")
+        )
+        loop.run_until_complete(supervision.wait_for_stop(loop, handler))
 
 
 def _reload(log: logs.EventLog) -> None:
--- a/src/cowslipshift/edge/service.py
+++ b/src/cowslipshift/edge/service.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import os
 import time
 from typing import Any
 from typing import TYPE_CHECKING
@@ -13,8 +12,10 @@
 import aiomisc
 import msgspec
 
+from cowslipshift import addresses
 from cowslipshift import clock as clocks
 from cowslipshift import exceptions as base_exceptions
+from cowslipshift import supervision
 from cowslipshift.edge import attempts
 from cowslipshift.edge import beliefs
 from cowslipshift.edge import frontdoor
@@ -39,8 +40,6 @@
 from cowslipshift.telemetry import logs
 
 if TYPE_CHECKING:
-    from collections.abc import Coroutine
-
     from cowslipshift.store import interface
 
 LEASE_S = 6.0
@@ -81,7 +80,7 @@
         """Assemble the host, read the store, then listen."""
         self._log = logs.EventLog("service")
         self._clock = clocks.SystemClock()
-        self._tasks: list[asyncio.Task[None]] = []
+        self._supervisor = supervision.Supervisor(self._log)
         self._runners: list[web.BaseRunner] = []
         self._is_leaving = False
         self._lease = 0
@@ -90,9 +89,9 @@
         await self._open_gossip()
         await self._listen_internal()
         await self._listen_callers()
-        self._start(self._watcher.run())
-        self._start(self._run_announcing())
-        self._start(self._run_ticks())
+        self._supervisor.start(self._watcher.run())
+        self._supervisor.start(self._run_announcing())
+        self._supervisor.start(self._run_ticks())
         self._log.info(
             "started",
             front=self.settings.listen.front,
@@ -119,9 +118,6 @@
 
     async def abort(self) -> None:
         """End without a word to anybody, as a crash does; for tests."""
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
         self._lease = 0
         await self._close()
 
@@ -205,18 +201,6 @@
             self._take_word, self._metrics.count_peer_bytes
         )
 
-    def _start(self, job: Coroutine[Any, Any, None]) -> None:
-        task = asyncio.create_task(job)
-        task.add_done_callback(self._check_task)
-        self._tasks.append(task)
-
-    def _check_task(self, task: asyncio.Task[None]) -> None:
-        """End the process when a task dies: a host must not run in part."""
-        if task.cancelled() or task.exception() is None:
-            return
-        self._log.error("task_failed", reason=repr(task.exception()))
-        os._exit(1)
-
     async def _open_gossip(self) -> None:
         loop = asyncio.get_running_loop()
         port = self.settings.internal_ports[0]
@@ -260,21 +244,22 @@
 
     async def _run_site(self, runner: web.BaseRunner, address: str) -> None:
         await runner.setup()
-        ip, _, port = address.rpartition(":")
-        await web.TCPSite(runner, ip, int(port), backlog=BACKLOG).start()
+        ip, port = addresses.split_address(address)
+        await web.TCPSite(runner, ip, port, backlog=BACKLOG).start()
         self._runners.append(runner)
 
     async def _close(self) -> None:
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._supervisor.stop()
         if self._lease:
             try:
                 await self._store.end_lease(self._lease)
             except store_exceptions.StoreError as error:
                 self._log.warn("lease_not_ended", reason=error)
         for runner in self._runners:
-            await frontdoor.close_quietly(runner)
+            try:
+                await runner.cleanup()
+            except OSError as error:
+                self._log.warn("listener_not_closed", reason=repr(error))
         self._gossip.close()
         await self._client.close()
         await self._session.close()
--- /dev/null
+++ b/src/cowslipshift/supervision.py
@@ -0,0 +1,60 @@
+"""Running a process: tasks that must not die, and the wait for a stop."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import os
+import signal
+from typing import Any
+from typing import TYPE_CHECKING
+
+from cowslipshift.telemetry import logs
+
+if TYPE_CHECKING:
+    from collections.abc import Coroutine
+
+
+class Supervisor:
+    """Tasks without which the process must not go on.
+
+    Args:
+        log: Where the death of a task is written.
+    """
+
+    def __init__(self, log: logs.EventLog) -> None:
+        self._log = log
+        self._tasks: list[asyncio.Task[None]] = []
+
+    def start(self, job: Coroutine[Any, Any, None]) -> None:
+        """Start a task."""
+        task = asyncio.create_task(job)
+        task.add_done_callback(self._check_task)
+        self._tasks.append(task)
+
+    async def stop(self) -> None:
+        """Cancel all tasks and wait for their end."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def _check_task(self, task: asyncio.Task[None]) -> None:
+        """End the process when a task dies: a host must not run in part."""
+        if task.cancelled() or task.exception() is None:
+            return
+        self._log.error("task_failed", reason=repr(task.exception()))
+        os._exit(1)
+
+
+async def wait_for_stop(
+    loop: asyncio.AbstractEventLoop, handler: logs.LineHandler
+) -> None:
+    """Write log lines now and then until SIGTERM or SIGINT arrives."""
+    stopped = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopped.set)
+    while not stopped.is_set():
+        handler.flush()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(logs.FLUSH_INTERVAL_S):
+                await stopped.wait()
