Look at no more servers than are weighed; one call of the store

Cause: each request checked every server of its service although two are weighed. Ruled out: nothing, the order is the same; the list stops at the second server that is started.

--- a/src/cowslipshift/platform/store.py
+++ b/src/cowslipshift/platform/store.py
@@ -71,7 +71,7 @@
         revision = 0
         params = {"prefix": prefix}
         while True:
-            raw = await self._call("GET", names.RANGE_PATH, params)
+            _, raw = await self._call("GET", names.RANGE_PATH, params)
             page = _decode(raw, _Page)
             items += [_convert(item) for item in page.items]
             # Pages are no snapshot: only what the first one saw is certain.
@@ -89,7 +89,7 @@
             "after": str(after),
             "wait_ms": str(int(wait_s * 1000)),
         }
-        raw = await self._call(
+        _, raw = await self._call(
             "GET", names.WATCH_PATH, params, timeout_s=wait_s + WATCH_MARGIN_S
         )
         found = _decode(raw, _Events)
@@ -115,12 +115,14 @@
             ],
             "deletes": [],
         }
-        status, _ = await self._exchange("POST", names.TXN_PATH, body=body)
-        return self._check(status, (200, 404, 412)) == 200
+        status, _ = await self._call(
+            "POST", names.TXN_PATH, body=body, allowed=(200, 404, 412)
+        )
+        return status == 200
 
     async def grant_lease(self, ttl_s: float) -> int:
         """Create a lease and return its id."""
-        raw = await self._call(
+        _, raw = await self._call(
             "POST", names.LEASE_PATH, body={"ttl_ms": int(ttl_s * 1000)}
         )
         lease: int = _decode(raw, _Lease).lease
@@ -128,15 +130,18 @@
 
     async def keep_lease(self, lease: int) -> bool:
         """Renew a lease; return whether it still exists."""
-        status, _ = await self._exchange("POST", f"{names.KEEP_PATH}/{lease}")
-        return self._check(status, (200, 404)) == 200
+        status, _ = await self._call(
+            "POST", f"{names.KEEP_PATH}/{lease}", allowed=(200, 404)
+        )
+        return status == 200
 
     async def end_lease(self, lease: int) -> None:
         """End a lease and delete its keys."""
-        status, _ = await self._exchange(
-            "DELETE", f"{names.LEASE_END_PATH}/{lease}"
+        await self._call(
+            "DELETE",
+            f"{names.LEASE_END_PATH}/{lease}",
+            allowed=(200, 204, 404),
         )
-        self._check(status, (200, 204, 404))
 
     async def _call(
         self,
@@ -145,24 +150,7 @@
         params: Mapping[str, str] | None = None,
         body: object = None,
         timeout_s: float = CALL_TIMEOUT_S,
-    ) -> bytes:
-        status, raw = await self._exchange(
-            method, path, params, body, timeout_s
-        )
-        if status == 410:
-            raise exceptions.HistoryGoneError(
-                "the store dropped the history of a watch"
-            )
-        self._check(status, (200,))
-        return raw
-
-    async def _exchange(
-        self,
-        method: str,
-        path: str,
-        params: Mapping[str, str] | None = None,
-        body: object = None,
-        timeout_s: float = CALL_TIMEOUT_S,
+        allowed: tuple[int, ...] = (200,),
     ) -> tuple[int, bytes]:
         kind = path.split("/")[2]
         try:
@@ -174,20 +162,22 @@
                 timeout=aiohttp.ClientTimeout(total=timeout_s),
             ) as response:
                 raw = await response.read()
-                self._count(kind, str(response.status))
-                return response.status, raw
+                status = response.status
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
             self._count(kind, "none")
             raise exceptions.StoreUnavailableError(
                 f"the store did not answer {kind}: {error!r}"
             ) from error
-
-    def _check(self, status: int, allowed: tuple[int, ...]) -> int:
+        self._count(kind, str(status))
+        if status == 410:
+            raise exceptions.HistoryGoneError(
+                "the store dropped the history of a watch"
+            )
         if status not in allowed:
             raise exceptions.StoreUnavailableError(
-                f"the store answered with status {status}"
+                f"the store answered {kind} with status {status}"
             )
-        return status
+        return status, raw
 
 
 def _decode(raw: bytes, kind: type[Any]) -> Any:
--- a/src/cowslipshift/steering/desk.py
+++ b/src/cowslipshift/steering/desk.py
@@ -274,22 +274,27 @@
         self, call: calls.Call, now: float
     ) -> calls.Choice | calls.Refusal:
         """Choose where the next attempt of a request goes."""
-        usable = [
+        usable = (
             state
             for state in self._rank(call)
             if self._is_usable(state, call, now)
-        ]
-        started = [state for state in usable if not state.is_cold(now)]
+        )
+        cold: list[backends.BackendState] = []
+        started: list[backends.BackendState] = []
+        for state in usable:
+            (cold if state.is_cold(now) else started).append(state)
+            if len(started) == CANDIDATES:
+                break
         if not started and self._may_stay_old(call):
             call.is_new = False
             return self.choose_backend(call, now)
         best: calls.Choice | None = None
-        for position, state in enumerate(started[:CANDIDATES]):
+        for position, state in enumerate(started):
             choice = self._predict(call, state, position, now)
             if best is None or choice.expected_s < best.expected_s:
                 best = choice
         if best is None:
-            best = self._choose_cold(call, usable, now)
+            best = self._choose_cold(call, cold, now)
         if best is None:
             return calls.Refusal("no_backend", MIN_RETRY_AFTER_S * 5)
         left_s = call.deadline_s - now
@@ -402,7 +407,7 @@
     def _choose_cold(
         self,
         call: calls.Call,
-        usable: list[backends.BackendState],
+        cold: list[backends.BackendState],
         now: float,
     ) -> calls.Choice | None:
         assert self.plan is not None
@@ -410,7 +415,7 @@
         rate = service.cold_rate if service is not None else 1.0
         hosts = [member.name for member in self.presence.list_live(now)]
         interval_s = COLD_OPENERS / max(0.1, rate * COLD_SAFETY)
-        for position, state in enumerate(usable):
+        for position, state in enumerate(cold):
             identity = state.entry.id
             if now - self._cold_sent_s.get(identity, -1e9) < interval_s:
                 continue
