Log and count how hosts fetch changes from each other

An operator who asks why a host applied no configuration could not see which changes it was sent, by whom, how many and how fast: the line was a debug line with the revision only. Each fetch now has a line with the revision before and after, items and time; a whole read tells the newest change on any page; gauges tell revision, version in force and for how long a newer revision has been known of. Requests to other hosts have a client of their own, as those to the store have.

No decision changed; the test of the gauges is new, the others pass (tests/edge).

--- a/src/cowslipshift/edge/metrics.py
+++ b/src/cowslipshift/edge/metrics.py
@@ -33,6 +33,20 @@
                 ("cowslipshift_lookups_total", "Look-ups."),
                 ("cowslipshift_store_calls_total", "Calls of the store."),
                 ("cowslipshift_peer_bytes_total", "Bytes between hosts."),
+                ("cowslipshift_fetches_total", "Changes asked of hosts."),
+            )
+        }
+        self._gauges = {
+            name: aioprometheus.Gauge(
+                name, doc, const_labels=self._labels, registry=self._registry
+            )
+            for name, doc in (
+                ("cowslipshift_store_revision", "Revision of the replica."),
+                ("cowslipshift_config_version", "Configuration in force."),
+                (
+                    "cowslipshift_behind_seconds",
+                    "Time for which a newer revision has been known of.",
+                ),
             )
         }
         self._latency = aioprometheus.Histogram(
@@ -86,6 +100,33 @@
         """Count bytes sent to or received from other hosts."""
         self._add("cowslipshift_peer_bytes_total", size, direction=direction)
 
+    def count_fetch(self, outcome: str, size: int) -> None:
+        """Count a request for changes to another host.
+
+        Args:
+            outcome: HTTP status of the answer, or ``none``.
+            size: Bytes of the answer.
+        """
+        self._add("cowslipshift_fetches_total", outcome=outcome)
+        self._add("cowslipshift_peer_bytes_total", size, direction="fetched")
+
+    def set_replica_state(
+        self, revision: int, version: int, behind_s: float
+    ) -> None:
+        """Record how far this host has followed the store.
+
+        Args:
+            revision: Store revision of the replica.
+            version: Version of the configuration in force.
+            behind_s: Seconds for which a newer revision has been known of.
+        """
+        for name, value in (
+            ("cowslipshift_store_revision", revision),
+            ("cowslipshift_config_version", version),
+            ("cowslipshift_behind_seconds", behind_s),
+        ):
+            self._gauges[name].set({}, value)
+
     def render(self) -> tuple[bytes, dict[str, str]]:
         """Return the exposition text and its HTTP headers."""
         pending, self._pending = self._pending, collections.Counter()
--- /dev/null
+++ b/src/cowslipshift/edge/peerclient.py
@@ -0,0 +1,63 @@
+"""Requests changes in the store from other hosts."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import aiohttp
+
+from cowslipshift.edge import exceptions
+from cowslipshift.edge import messages
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+PEER_TIMEOUT_S = 0.6
+
+
+class PeerClient:
+    """Client of the internal HTTP interface of other hosts.
+
+    Args:
+        session: HTTP session to use; the caller closes it.
+        on_fetch: Called with the outcome of each fetch and the size of its
+            answer, for metrics.
+    """
+
+    def __init__(
+        self,
+        session: aiohttp.ClientSession,
+        on_fetch: Callable[[str, int], None],
+    ) -> None:
+        self._session = session
+        self._on_fetch = on_fetch
+
+    async def fetch_changes(
+        self, address: str, after: int
+    ) -> messages.Changes:
+        """Fetch what changed in the store after a revision.
+
+        Args:
+            address: ``ip:port`` of the other host.
+            after: Store revision of the own replica.
+
+        Raises:
+            PeerError: The other host gave no valid answer in time.
+        """
+        try:
+            async with self._session.get(
+                f"http://{address}/changes",
+                params={"after": str(after)},
+                timeout=aiohttp.ClientTimeout(total=PEER_TIMEOUT_S),
+            ) as response:
+                raw = await response.read()
+                status = response.status
+        except (TimeoutError, aiohttp.ClientError, OSError) as error:
+            self._on_fetch("none", 0)
+            raise exceptions.PeerError(repr(error)) from error
+        self._on_fetch(str(status), len(raw))
+        if status != 200:
+            raise exceptions.PeerError(
+                f"another host answered with status {status}"
+            )
+        return messages.decode_changes(raw)
--- a/src/cowslipshift/edge/service.py
+++ b/src/cowslipshift/edge/service.py
@@ -22,6 +22,7 @@
 from cowslipshift.edge import logevents
 from cowslipshift.edge import messages
 from cowslipshift.edge import metrics as metric
+from cowslipshift.edge import peerclient
 from cowslipshift.edge import registration
 from cowslipshift.edge import rolloutcontroller
 from cowslipshift.edge import upstream
@@ -206,7 +207,7 @@
             self._store,
             self._membership,
             overlay,
-            self._session,
+            peerclient.PeerClient(self._session, self._metrics.count_fetch),
             self._apply_item,
             self._record_store_outage,
             self._send_revision,
@@ -322,6 +323,11 @@
         return web.Response(body=messages.encode_changes(found))
 
     async def _serve_metrics(self, request: web.Request) -> web.Response:
+        self._metrics.set_replica_state(
+            self.revision,
+            self._balancer.version,
+            self._watcher.measure_behind(self._clock.now()),
+        )
         content, headers = self._metrics.render()
         return web.Response(body=content, headers=headers)
 
--- a/src/cowslipshift/edge/watcher.py
+++ b/src/cowslipshift/edge/watcher.py
@@ -9,13 +9,11 @@
 from __future__ import annotations
 
 import asyncio
+from typing import Protocol
 from typing import TYPE_CHECKING
 
-import aiohttp
-
 from cowslipshift.coordination import hashing
 from cowslipshift.edge import exceptions
-from cowslipshift.edge import messages
 from cowslipshift.edge import replica as replicas
 from cowslipshift.store import exceptions as store_exceptions
 from cowslipshift.store import interface
@@ -25,6 +23,7 @@
     from collections.abc import Callable
 
     from cowslipshift import clock as clocks
+    from cowslipshift.edge import messages
     from cowslipshift.steering import membership as memberships
     from cowslipshift.steering import overlay as overlays
 
@@ -36,7 +35,6 @@
 
 IDLE_POLL_INTERVAL_S = 0.2
 STORE_RETRY_DELAY_S = 0.3
-PEER_TIMEOUT_S = 0.6
 STORE_LOSS_MEMORY_S = 3.0
 """How long a host that could not reach the store is taken to be cut off from
 it."""
@@ -44,6 +42,19 @@
 ALL_KEYS = ""
 
 
+class ChangeClient(Protocol):
+    """Fetches changes in the store from other hosts."""
+
+    async def fetch_changes(
+        self, address: str, after: int
+    ) -> messages.Changes:
+        """Fetch what changed in the store after a revision.
+
+        Raises:
+            PeerError: The other host gave no valid answer in time.
+        """
+
+
 class Watcher:
     """Follows the store and applies its changes to the replica.
 
@@ -52,7 +63,7 @@
         store: The platform's store.
         membership: Tells which hosts are alive.
         overlay: Chooses the host to fetch changes from.
-        session: HTTP session for calls to other hosts.
+        client: Fetches changes from other hosts.
         on_change: Called with each item that changed.
         on_store_failure: Called each time a call to the store fails.
         on_revision: Called when changes were applied to the replica.
@@ -68,7 +79,7 @@
         store: interface.RevisionedStore,
         membership: memberships.Membership,
         overlay: overlays.Overlay,
-        session: aiohttp.ClientSession,
+        client: ChangeClient,
         on_change: Callable[[interface.Item], None],
         on_store_failure: Callable[[], None],
         on_revision: Callable[[], None],
@@ -79,7 +90,7 @@
         self._store = store
         self._membership = membership
         self._overlay = overlay
-        self._session = session
+        self._client = client
         self._on_change = on_change
         self._on_store_failure = on_store_failure
         self._on_revision = on_revision
@@ -147,6 +158,12 @@
         else:
             self._record_store_failure(reason)
 
+    def measure_behind(self, now: float) -> float:
+        """Return for how long a newer revision has been known of."""
+        if self._behind_since_s is None:
+            return 0.0
+        return now - self._behind_since_s
+
     @property
     def is_watching(self) -> bool:
         """Whether this host watches the store on behalf of its region."""
@@ -167,13 +184,20 @@
 
     async def _read_or_watch(self) -> None:
         if self._needs_snapshot:
+            started_s = self._clock.now()
             snapshot = await self._store.read_prefix(ALL_KEYS)
             self._needs_snapshot = False
             self._record_store_success()
+            self._log.info(
+                "view_read",
+                revision=snapshot.revision,
+                items=len(snapshot.items),
+                newest=max((i.revision for i in snapshot.items), default=0),
+                took_ms=(self._clock.now() - started_s) * 1000,
+            )
             self._notify(
                 self.replica.apply_snapshot(snapshot.items, snapshot.revision)
             )
-            self._log.info("view_read", revision=snapshot.revision)
             return
         found = await self._store.watch_prefix(
             ALL_KEYS, self.replica.revision, WATCH_WAIT_S
@@ -187,12 +211,30 @@
         member = next(
             (m for m in self._membership.list_peers() if m.name == host), None
         )
+        after, started_s = self.replica.revision, self._clock.now()
         try:
             if member is not None:
-                found = await self._fetch_changes(member.internal_address)
-                self._apply_fetched(found, host)
+                found = await self._client.fetch_changes(
+                    member.internal_address, after
+                )
+                self._log.info(
+                    "changes_fetched",
+                    peer=host,
+                    after=after,
+                    revision=found.revision,
+                    items=len(found.items),
+                    snapshot=found.is_snapshot,
+                    took_ms=(self._clock.now() - started_s) * 1000,
+                )
+                self._apply_fetched(found)
         except exceptions.PeerError as error:
-            self._log.warn("peer_silent", peer=host, reason=error.message)
+            self._log.warn(
+                "peer_silent",
+                peer=host,
+                reason=error.message,
+                after=after,
+                took_ms=(self._clock.now() - started_s) * 1000,
+            )
             # Until its next heartbeat this host is not asked again, however
             # near it is.
             self._peer_revisions.pop(host, None)
@@ -200,32 +242,15 @@
         finally:
             self._is_fetching = False
 
-    def _apply_fetched(self, found: messages.Changes, host: str) -> None:
+    def _apply_fetched(self, found: messages.Changes) -> None:
         if found.revision <= self.replica.revision:
             return
         if found.is_snapshot:
             changed = self.replica.apply_snapshot(found.items, found.revision)
         else:
             changed = self.replica.apply_changes(found.items, found.revision)
-        self._log.debug("pulled", peer=host, revision=found.revision)
         self._notify(changed)
 
-    async def _fetch_changes(self, address: str) -> messages.Changes:
-        try:
-            async with self._session.get(
-                f"http://{address}/changes",
-                params={"after": str(self.replica.revision)},
-                timeout=aiohttp.ClientTimeout(total=PEER_TIMEOUT_S),
-            ) as response:
-                raw = await response.read()
-                if response.status != 200:
-                    raise exceptions.PeerError(
-                        f"another host answered with status {response.status}"
-                    )
-        except (TimeoutError, aiohttp.ClientError, OSError) as error:
-            raise exceptions.PeerError(repr(error)) from error
-        return messages.decode_changes(raw)
-
     def _notify(self, changed: list[interface.Item]) -> None:
         self._behind_since_s = None
         for item in changed:
--- a/tests/edge/test_heartbeats.py
+++ b/tests/edge/test_heartbeats.py
@@ -202,9 +202,9 @@
     assert "h1" not in {member.name for member in usable}
 
 
-async def test_host_that_did_not_answer_is_not_asked_for_changes_again(
-    monkeypatch: pytest.MonkeyPatch,
-) -> None:
+async def test_host_that_did_not_answer_is_not_asked_for_changes_again() -> (
+    None
+):
     """A near host does not answer; a far host has the same revision."""
     fleet = Fleet(45)
     balancer = builders.build_balancer("h0")
@@ -213,23 +213,25 @@
         balancer.apply(changes.MemberChange(peer, member), 0.0)
     asked: list[str] = []
 
-    async def ask(address: str) -> messages.Changes:
-        asked.append(address.partition(":")[0])
-        if asked[-1] == "h3":
-            raise exceptions.PeerError("no answer")
-        return messages.Changes(9, False, ())
+    class Client:
+        async def fetch_changes(
+            self, address: str, after: int
+        ) -> messages.Changes:
+            asked.append(address.partition(":")[0])
+            if asked[-1] == "h3":
+                raise exceptions.PeerError("no answer")
+            return messages.Changes(9, False, ())
 
     watcher = watchers.Watcher(
         fleet.clock,
         None,
         balancer.membership,
         overlays.Overlay(balancer.membership),
-        None,
+        Client(),
         lambda item: None,
         lambda: None,
         lambda: None,
     )
-    monkeypatch.setattr(watcher, "_fetch_changes", ask)
     heartbeat = fleet.hosts["h3"]._build(0.0, False)
     for host in ("h3", "h1", "h1", "h1"):
         watcher.record_heartbeat(
--- a/tests/edge/test_platform_path.py
+++ b/tests/edge/test_platform_path.py
@@ -332,3 +332,24 @@
     assert any('rank="' in x and 'status="200"' in x for x in answers)
     assert any('rank="' in x and 'status="503"' in x for x in refusals)
     assert not any('rank=""' in x for x in answers + refusals)
+
+
+async def test_metrics_tell_how_far_a_host_has_followed_the_store(
+    fleet,
+) -> None:
+    fleet.store.put(names.CONFIG_KEY, platformfleet.build_config(2))
+    host = fleet.hosts[1]
+    await platformfleet.wait_until(
+        lambda: host.balancer.configuration.version == 2
+    )
+    address = f"127.0.0.1:{host.settings.internal_ports[0] + 1}"
+    async with fleet.session.get(f"http://{address}/metrics") as response:
+        lines = (await response.text()).splitlines()
+    values = {
+        line.partition("{")[0]: float(line.rpartition(" ")[2])
+        for line in lines
+        if not line.startswith("#")
+    }
+    assert values["cowslipshift_config_version"] == 2
+    assert 0 < values["cowslipshift_store_revision"] <= fleet.store.revision
+    assert values["cowslipshift_behind_seconds"] == 0
