Pass on changes that a host read ahead of its revision

Cause: a read of the whole store takes several pages. Its revision is that of the first page, but later pages may hold newer entries. The watch that follows delivers these changes again; the replica knew them already and left them out of its change log, so that hosts that asked it for changes advanced past the revision without the change. The configuration is on the second page as soon as 50 hosts are registered, as their keys sort before it; with ten hosts it is on the first one.

Both tests failed before: one host keeps version 1, the other a deleted server. The change log now holds every change that a host receives, whether or not it knew it, which makes it complete from its start revision to the replica's.

--- a/src/cowslipshift/edge/replica.py
+++ b/src/cowslipshift/edge/replica.py
@@ -18,6 +18,10 @@
 class StoreReplica:
     """All items of the store at one revision.
 
+    Some items may be newer, as the pages of a snapshot are read at different
+    revisions. The change log holds every change after its start revision, up
+    to the revision of the replica.
+
     Attributes:
         revision: Store revision up to which the replica is complete; 0 at
             first.
@@ -35,7 +39,11 @@
         self, items: Iterable[interface.Item], revision: int
     ) -> list[interface.Item]:
         """Apply changes in order; return those that changed a value."""
-        changed = [item for item in items if self._apply(item)]
+        new = list(items)
+        # Also logged if the replica has them already, from a page that was
+        # read later than the first one: other hosts may not.
+        self._change_log.extend(new)
+        changed = [item for item in new if self._apply(item)]
         self.revision = max(self.revision, revision)
         return changed
 
@@ -87,5 +95,4 @@
             del self._items[item.key]
         else:
             self._items[item.key] = item
-        self._change_log.append(item)
         return known is None or known.value != item.value
--- /dev/null
+++ b/tests/edge/test_replica.py
@@ -0,0 +1,57 @@
+"""Replicas of the store, built from pages, watches and other hosts."""
+
+from __future__ import annotations
+
+from cowslipshift.edge import replica as replicas
+from cowslipshift.store import interface
+
+
+def build_item(key: str, value: str | None, revision: int) -> interface.Item:
+    raw = None if value is None else value.encode()
+    return interface.Item(key, raw, revision)
+
+
+def list_values(replica: replicas.StoreReplica) -> dict[str, str]:
+    items = replica.list_changes(0).items
+    return {item.key: item.value.decode() for item in items}
+
+
+def build_replica(
+    items: list[interface.Item], revision: int
+) -> replicas.StoreReplica:
+    replica = replicas.StoreReplica()
+    replica.apply_snapshot(items, revision)
+    return replica
+
+
+def fetch(
+    replica: replicas.StoreReplica, source: replicas.StoreReplica
+) -> None:
+    found = source.list_changes(replica.revision)
+    assert not found.is_snapshot
+    replica.apply_changes(found.items, found.revision)
+
+
+# Guards against hosts that never apply a configuration that was written while
+# the host that they ask was reading the pages of the store.
+def test_change_between_pages_reaches_the_hosts_that_ask() -> None:
+    old = build_item("op/config", "1", 5)
+    new = build_item("op/config", "2", 11)
+    behind = build_replica([old], 10)
+    # Its first page was read at revision 10, its second at 11.
+    source = build_replica([new], 10)
+    source.apply_changes([new, build_item("servers/a", "a", 12)], 12)
+    fetch(behind, source)
+    assert behind.revision == 12
+    assert list_values(behind) == {"op/config": "2", "servers/a": "a"}
+
+
+# Guards against hosts that keep an entry that was deleted while the host that
+# they ask was reading the pages of the store.
+def test_deletion_between_pages_reaches_the_hosts_that_ask() -> None:
+    behind = build_replica([build_item("servers/a", "a", 5)], 10)
+    source = build_replica([], 10)
+    source.apply_changes([build_item("servers/a", None, 11)], 11)
+    fetch(behind, source)
+    assert behind.revision == 11
+    assert list_values(behind) == {}
