Skip changes up to a replica's own revision

Callers could see: an evacuation, roll-out order or server that was deleted in the store in force again on one host, with no later change to correct it.

Cause: a watch and a request to another host may overlap. The answer to the one that started first holds changes that the replica has passed by; a key that was deleted meanwhile is unknown to it, so its older entry was taken for a new one, and the deletion is not delivered again.

A replica is complete up to its revision, so that a change at or below it is never news.

--- a/src/cowslipshift/edge/replica.py
+++ b/src/cowslipshift/edge/replica.py
@@ -38,8 +38,12 @@
     def apply_changes(
         self, items: Iterable[interface.Item], revision: int
     ) -> list[interface.Item]:
-        """Apply changes in order; return those that changed a value."""
-        new = list(items)
+        """Apply changes in order; return those that changed a value.
+
+        Changes up to the replica's own revision are skipped: it has them, or
+        what replaced them.
+        """
+        new = [item for item in items if item.revision > self.revision]
         # Also logged if the replica has them already, from a page that was
         # read later than the first one: other hosts may not.
         self._change_log.extend(new)
--- a/tests/edge/test_replica.py
+++ b/tests/edge/test_replica.py
@@ -55,3 +55,16 @@
     fetch(behind, source)
     assert behind.revision == 11
     assert list_values(behind) == {}
+
+
+# Guards against an entry that comes back after its deletion, because the
+# answer to a watch arrives after newer changes from another host.
+def test_late_changes_do_not_restore_a_deleted_entry() -> None:
+    evacuation = build_item("op/evacuate/north-a", "{}", 6)
+    replica = build_replica([], 5)
+    replica.apply_changes(
+        [evacuation, build_item("op/evacuate/north-a", None, 8)], 8
+    )
+    replica.apply_changes([evacuation], 7)
+    assert replica.revision == 8
+    assert list_values(replica) == {}
