Keep hosts that lose their registration but still send heartbeats

Callers saw: a host that the store turned away for 9 s answered by an older configuration until it reached the store again, seconds after a third of its peers, turned away as well, had the new one.

Cause: a host that the store turns away cannot renew its registration, which expires after 6 s. The other hosts then removed it from their members, and as heartbeats go to members only, it heard of no revision; its own heartbeats were ignored. Removal from the store was taken for the end of the host, though it only ends its registration.

A host whose registration ends is now kept until its heartbeats stop for the usual failure time-out, or at once if it said that it leaves. test_host_without_registration_still_follows_the_others (real hosts) and test_unregistered_host_is_kept_until_its_heartbeats_stop failed before.

--- a/src/cowslipshift/edge/service.py
+++ b/src/cowslipshift/edge/service.py
@@ -385,6 +385,8 @@
             self._balancer.refill_budgets(passed_s)
             for identity in self._balancer.inventory.drop_expired(now):
                 self._log.info("lapsed_dropped", backend=identity)
+            for name in self._membership.drop_unregistered(now):
+                self._log.info("member_dropped", member=name)
             self._heartbeats.tick(now)
 
     async def _run_rollout_evaluation(self) -> None:
--- a/src/cowslipshift/steering/membership.py
+++ b/src/cowslipshift/steering/membership.py
@@ -51,19 +51,27 @@
         self._members: dict[str, model.Member] = {own.name: own}
         self._last_heard_s: dict[str, float] = {}
         self._leaving: set[str] = set()
+        self._unregistered: set[str] = set()
         self._interval_factor = 1.0
 
     def set_member(
         self, name: str, member: model.Member | None, now: float
     ) -> None:
-        """Record the announcement of a host, or that the host is gone."""
+        """Record the announcement of a host, or that it is gone.
+
+        A host that still sends heartbeats, and does not say that it leaves,
+        is kept until they stop: the store may have turned it away, so that
+        its registration expired, and then it depends on the other hosts.
+        """
         if name == self.own.name:
             return
         if member is None:
-            self._members.pop(name, None)
-            self._last_heard_s.pop(name, None)
-            self._record_change()
+            if self.is_alive(name, now) and not self._is_leaving(name):
+                self._unregistered.add(name)
+            else:
+                self._remove(name)
             return
+        self._unregistered.discard(name)
         known = self._members.get(name)
         self._members[name] = member
         self._record_change()
@@ -85,6 +93,17 @@
         if is_leaving:
             self._leaving.add(name)
 
+    def drop_unregistered(self, now: float) -> list[str]:
+        """Drop hosts that are no longer announced and have fallen silent."""
+        dropped = [
+            name
+            for name in self._unregistered
+            if not self.is_alive(name, now) or self._is_leaving(name)
+        ]
+        for name in dropped:
+            self._remove(name)
+        return dropped
+
     def get_heartbeat_interval(self) -> float:
         """Return the seconds between two heartbeats of a host."""
         return BASE_HEARTBEAT_INTERVAL_S * self.get_interval_factor()
@@ -120,6 +139,12 @@
         """Whether heartbeats to other data centres are relayed."""
         return len(self._members) > MAX_FULL_MESH_HOSTS
 
+    def _remove(self, name: str) -> None:
+        self._unregistered.discard(name)
+        self._members.pop(name, None)
+        self._last_heard_s.pop(name, None)
+        self._record_change()
+
     def _record_change(self) -> None:
         self.generation += 1
         self._interval_factor = self._compute_interval_factor()
--- a/tests/edge/test_platform_path.py
+++ b/tests/edge/test_platform_path.py
@@ -229,6 +229,22 @@
     )
 
 
+# Guards against a host that applies no configuration for as long as the store
+# turns it away, because the others forget it when its registration expires.
+async def test_host_without_registration_still_follows_the_others(
+    fleet,
+) -> None:
+    host = fleet.hosts[1]
+    fleet.refuse_store_calls(host)
+    fleet.store.delete(names.MEMBER_PREFIX + host.settings.node_name)
+    revision = fleet.store.revision
+    await platformfleet.wait_until(lambda: fleet.hosts[0].revision >= revision)
+    fleet.store.put(names.CONFIG_KEY, platformfleet.build_config(2))
+    await platformfleet.wait_until(
+        lambda: host.balancer.configuration.version == 2
+    )
+
+
 async def test_graceful_stop_loses_no_request(fleet) -> None:
     for backend in fleet.backends.values():
         backend.behaviour.service_s = 0.5
--- a/tests/steering/test_membership.py
+++ b/tests/steering/test_membership.py
@@ -70,3 +70,34 @@
         "h2:80",
     ]
     assert memberships.choose_public_addresses([], "west", own) == ["h1:80"]
+
+
+# Guards against a host that the store turns away being forgotten by the
+# others, which then send it no heartbeats and no changes.
+def test_unregistered_host_is_kept_until_its_heartbeats_stop() -> None:
+    membership = build_membership("h2", "h3")
+    for now in (1.0, 2.0):
+        membership.record_heartbeat("h2", 1, False, now)
+        membership.record_heartbeat("h3", 1, False, now)
+    membership.set_member("h2", None, 2.0)
+    assert membership.drop_unregistered(2.1) == []
+    assert list_names(membership, 2.1) == {"h1", "h2", "h3"}
+    membership.record_heartbeat("h3", 1, False, 4.0)
+    assert membership.drop_unregistered(4.1) == ["h2"]
+    assert {m.name for m in membership.list_peers()} == {"h3"}
+
+
+def test_silent_or_leaving_host_is_dropped_with_its_registration() -> None:
+    membership = build_membership("h2", "h3")
+    membership.record_heartbeat("h2", 1, True, 1.0)
+    membership.set_member("h2", None, 1.0)
+    membership.set_member("h3", None, 3.0)
+    assert membership.list_peers() == []
+
+
+def test_host_that_registers_again_is_not_dropped_when_silent() -> None:
+    membership = build_membership("h2")
+    membership.set_member("h2", None, 1.0)
+    membership.set_member("h2", builders.build_member("h2"), 1.5)
+    assert membership.drop_unregistered(9.0) == []
+    assert [m.name for m in membership.list_peers()] == ["h2"]
