Emulate many hosts that follow a store over narrow links

85 hosts in nine data centres run the product's watchers and heartbeats in simulated time, with a store of 600 entries and links of 10 Mbit/s (two hosts of each data centre: 200).

--- a/tests/builders.py
+++ b/tests/builders.py
@@ -213,7 +213,9 @@
 
 
 def build_member(
-    name: str, region: str = "north", centre: str = ""
+    name: str,
+    region: str = "north",
+    centre: str = "",
 ) -> steering.Member:
     """Build the announcement of a host on a platform."""
     return steering.Member(
@@ -237,6 +239,7 @@
     configuration: steering.Configuration | None = None,
     now: float = 0.0,
     peers: tuple[str, ...] = (),
+    own: steering.Member | None = None,
 ) -> balancers.Balancer:
     """Build the balancer of one host.
 
@@ -247,8 +250,10 @@
         configuration: Its configuration; a default one if left out.
         now: Present time.
         peers: Names of the hosts that it has heard from.
+        own: The host itself; one of that name and region if left out.
     """
-    membership = memberships.Membership(build_member(name, region))
+    own = own or build_member(name, region)
+    membership = memberships.Membership(own)
     balancer = balancers.Balancer(
         membership,
         REGIONS,
--- /dev/null
+++ b/tests/edge/test_propagation.py
@@ -0,0 +1,76 @@
+"""Configurations reach many hosts in time, whatever fails meanwhile."""
+
+from __future__ import annotations
+
+import functools
+import os
+from typing import TYPE_CHECKING
+
+import pytest
+from tests.edge import virtualfleet
+
+from cowslipshift.edge import messages
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+HOSTS = 85
+BACKENDS = 465
+START_S = 8.0
+BOUND_S = 3.0
+"""Time within which operators require a configuration to be in force."""
+
+SEEDS = range(int(os.environ.get("COWSLIPSHIFT_PROPAGATION_SEEDS", "2")))
+
+
+@pytest.fixture(params=SEEDS)
+def fleet(
+    request: pytest.FixtureRequest, monkeypatch: pytest.MonkeyPatch
+) -> Iterator[virtualfleet.VirtualFleet]:
+    # Every heartbeat is decoded once, not by each host that receives it.
+    decode = functools.lru_cache(4096)(messages.decode_heartbeat)
+    monkeypatch.setattr(messages, "decode_heartbeat", decode)
+    started = virtualfleet.VirtualFleet(HOSTS, BACKENDS, request.param)
+    started.start()
+    started.run(START_S)
+    yield started
+    started.close()
+
+
+def write_storm(
+    fleet: virtualfleet.VirtualFleet, count: int, gap_s: float
+) -> dict[int, float]:
+    """Write configurations in quick succession; return their times."""
+    written_s = {}
+    for _ in range(count):
+        written_s[fleet.write_configuration()] = fleet.loop.time()
+        fleet.run(gap_s)
+    return written_s
+
+
+def assert_in_time(
+    fleet: virtualfleet.VirtualFleet, written_s: dict[int, float]
+) -> None:
+    fleet.run(2 * BOUND_S)
+    for revision, at_s in written_s.items():
+        assert fleet.list_late(revision, at_s, BOUND_S) == {}
+
+
+# Guards against hosts that all ask one host, or all read the whole store, when
+# several configurations follow each other.
+def test_storm_of_configurations_reaches_all_hosts(fleet) -> None:
+    written_s = write_storm(fleet, 6, 0.1)
+    assert_in_time(fleet, written_s)
+
+
+# Guards against hosts that fall behind for as long as the store turns them
+# away, and against those that they burden meanwhile.
+def test_configurations_reach_hosts_that_the_store_turns_away(fleet) -> None:
+    refused = set(fleet.draw.sample(sorted(fleet.hosts), HOSTS // 3))
+    fleet.store.refused = refused
+    written_s = write_storm(fleet, 4, 0.1)
+    fleet.run(4.5)
+    written_s |= write_storm(fleet, 1, 4.0)
+    fleet.store.refused = set()
+    written_s |= write_storm(fleet, 1, 0.1)
+    assert_in_time(fleet, written_s)
