Send hosts only the last change of each key

Callers were answered by an older configuration when several followed each other: the change log kept every version, so that each request for changes was answered with all of them, whole, over links of 10 Mbit/s.

The log is now keyed; its bound counts keys. A host that asks is at most as far as the log's end, so that earlier changes of a key are of no use to it. test_only_the_last_change_of_a_key_is_sent failed before.

--- a/src/cowslipshift/edge/replica.py
+++ b/src/cowslipshift/edge/replica.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-import collections
+import itertools
 from typing import TYPE_CHECKING
 
 from cowslipshift.edge import messages
@@ -12,15 +12,15 @@
     from collections.abc import Iterable
 
 MAX_KEPT_CHANGES = 2000
-"""Length of the change log, from which hosts that lag behind are served."""
+"""Keys in the change log, from which hosts that lag behind are served."""
 
 
 class StoreReplica:
     """All items of the store at one revision.
 
     Some items may be newer, as the pages of a snapshot are read at different
-    revisions. The change log holds every change after its start revision, up
-    to the revision of the replica.
+    revisions. The change log holds the last change of every key that changed
+    after its start revision, up to the revision of the replica.
 
     Attributes:
         revision: Store revision up to which the replica is complete; 0 at
@@ -30,9 +30,7 @@
     def __init__(self) -> None:
         self.revision = 0
         self._items: dict[str, interface.Item] = {}
-        self._change_log: collections.deque[interface.Item] = (
-            collections.deque(maxlen=MAX_KEPT_CHANGES)
-        )
+        self._change_log: dict[str, interface.Item] = {}
         self._log_start_revision = 0
 
     def apply_changes(
@@ -46,7 +44,8 @@
         new = [item for item in items if item.revision > self.revision]
         # Also logged if the replica has them already, from a page that was
         # read later than the first one: other hosts may not.
-        self._change_log.extend(new)
+        for item in new:
+            self._log_change(item)
         changed = [item for item in new if self._apply(item)]
         self.revision = max(self.revision, revision)
         return changed
@@ -74,21 +73,30 @@
         return changed
 
     def list_changes(self, after: int) -> messages.Changes:
-        """Return the changes after a revision.
+        """Return the last change of each key that changed after a revision.
 
         Returns a snapshot if the change log does not reach back that far.
         """
-        is_logged = after >= self._log_start_revision and (
-            len(self._change_log) < MAX_KEPT_CHANGES
-            or self._change_log[0].revision <= after
-        )
-        if is_logged and after:
-            items = tuple(i for i in self._change_log if i.revision > after)
+        if after and after >= self._log_start_revision:
+            newest_first = itertools.takewhile(
+                lambda item: item.revision > after,
+                reversed(self._change_log.values()),
+            )
+            items = tuple(newest_first)[::-1]
             return messages.Changes(self.revision, False, items)
         return messages.Changes(
             self.revision, True, tuple(self._items.values())
         )
 
+    def _log_change(self, item: interface.Item) -> None:
+        # A key that changes again moves to the end, which keeps the log in
+        # order of revision.
+        self._change_log.pop(item.key, None)
+        self._change_log[item.key] = item
+        if len(self._change_log) > MAX_KEPT_CHANGES:
+            oldest = next(iter(self._change_log))
+            self._log_start_revision = self._change_log.pop(oldest).revision
+
     def _apply(self, item: interface.Item) -> bool:
         known = self._items.get(item.key)
         if known is not None and known.revision >= item.revision:
--- a/tests/edge/test_replica.py
+++ b/tests/edge/test_replica.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import pytest
+
 from cowslipshift.edge import replica as replicas
 from cowslipshift.store import interface
 
@@ -68,3 +70,42 @@
     replica.apply_changes([evacuation], 7)
     assert replica.revision == 8
     assert list_values(replica) == {}
+
+
+# Guards against congestion when configurations come in quick succession: each
+# one is sent whole, and the earlier ones are of no use to a host that asks.
+def test_only_the_last_change_of_a_key_is_sent() -> None:
+    source = build_replica([], 10)
+    source.apply_changes(
+        [
+            build_item("op/config", "1", 11),
+            build_item("servers/a", "a", 12),
+            build_item("op/config", "2", 13),
+            build_item("servers/b", "b", 13),
+        ],
+        13,
+    )
+    found = source.list_changes(10)
+    assert [(item.key, item.revision) for item in found.items] == [
+        ("servers/a", 12),
+        ("op/config", 13),
+        ("servers/b", 13),
+    ]
+    assert [item.key for item in source.list_changes(12).items] == [
+        "op/config",
+        "servers/b",
+    ]
+    assert source.list_changes(9).is_snapshot
+
+
+def test_change_log_is_bounded_and_complete_from_its_start(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(replicas, "MAX_KEPT_CHANGES", 3)
+    source = build_replica([], 10)
+    source.apply_changes(
+        [build_item(f"key-{n}", "x", 10 + n) for n in range(1, 6)], 15
+    )
+    assert source.list_changes(11).is_snapshot
+    assert len(source.list_changes(12).items) == 3
+    assert len(source.list_changes(0).items) == 5
