Choose the hosts with the most bandwidth as relays

A relay sends up to 5.4 Mbit/s of heartbeats there and up to the whole rest of its link of changes; requests that time out at 0.6 s were repeated and followed by whole reads of the store.

A host announces the bandwidth that its settings state; equal or unknown ones are ranked by hash as before.

--- a/src/cowslipshift/edge/service.py
+++ b/src/cowslipshift/edge/service.py
@@ -165,6 +165,7 @@
             internal_address=f"{settings.ip}:{port + 1}",
             heartbeat_address=f"{settings.ip}:{port}",
             incarnation=int(self._clock.wall() * 1000),
+            link_mbps=settings.limits.link_mbps,
         )
         self._metrics = metric.EdgeMetrics(settings.node_name)
         self._membership = memberships.Membership(self._own)
--- a/src/cowslipshift/platform/settings.py
+++ b/src/cowslipshift/platform/settings.py
@@ -42,6 +42,16 @@
     min_ttl_ms: int = 1000
 
 
+class MachineLimits(msgspec.Struct, frozen=True):
+    """What a machine grants its processes.
+
+    Attributes:
+        link_mbps: Bandwidth of its link, in Mbit/s; 0 if unknown.
+    """
+
+    link_mbps: float = 0.0
+
+
 class Bounds(msgspec.Struct, frozen=True):
     """Limits that the operators require the system to keep."""
 
@@ -81,6 +91,7 @@
     zones: dict[str, str]
     listen: ListenAddresses
     platform: StoreAddress
+    limits: MachineLimits = MachineLimits()
     heartbeat_ms: int = 1500
     bootstrap: bool = False
     bounds: tuple[str, ...] = ()
--- a/src/cowslipshift/steering/model.py
+++ b/src/cowslipshift/steering/model.py
@@ -157,6 +157,7 @@
         heartbeat_address: Address at which it receives heartbeats of other
             hosts, ``ip:port``.
         incarnation: Unix milliseconds of its start.
+        link_mbps: Bandwidth of its link, in Mbit/s; 0 if unknown.
     """
 
     name: str
@@ -166,3 +167,4 @@
     internal_address: str = msgspec.field(name="internal")
     heartbeat_address: str = msgspec.field(name="words")
     incarnation: int
+    link_mbps: float = 0.0
--- a/src/cowslipshift/steering/overlay.py
+++ b/src/cowslipshift/steering/overlay.py
@@ -3,8 +3,9 @@
 Up to some twenty hosts, each sends to all others. With more, a host sends to
 those of its own data centre, and two of them, the relays, forward its
 heartbeats to the relays of the other data centres, which forward them to
-their own. If a relay fails, every second heartbeat is lost until another host
-takes its place.
+their own. Relays are the hosts with the most bandwidth, as they send many
+times what the others do. If a relay fails, every second heartbeat is lost
+until another host takes its place.
 """
 
 from __future__ import annotations
@@ -176,22 +177,24 @@
             self._generation = generation
         relays = self._relays_by_centre.get(centre)
         if relays is None:
-            names = self._list_candidates(centre, now)
-            relays = hashing.rank_members(f"speak|{centre}", names)
-            self._relays_by_centre[centre] = relays = relays[
-                :RELAYS_PER_DATA_CENTRE
-            ]
+            candidates = self._list_candidates(centre, now)
+            links = {member.name: member.link_mbps for member in candidates}
+            ranked = hashing.rank_members(f"speak|{centre}", links)
+            # Stable, so that hosts with equal links stay in hashed order.
+            ranked.sort(key=lambda name: links[name], reverse=True)
+            relays = ranked[:RELAYS_PER_DATA_CENTRE]
+            self._relays_by_centre[centre] = relays
         return relays
 
-    def _list_candidates(self, centre: str, now: float) -> list[str]:
+    def _list_candidates(self, centre: str, now: float) -> list[model.Member]:
         """Return the live hosts of a data centre, or all if none is alive.
 
         If no host seems alive, any of them may be, and has to be reached
         again.
         """
         usable = self._membership.list_usable(now)
-        names = [m.name for m in usable if m.data_centre == centre]
-        if names:
-            return names
+        found = [m for m in usable if m.data_centre == centre]
+        if found:
+            return found
         announced = (self._own, *self._membership.list_peers())
-        return [m.name for m in announced if m.data_centre == centre]
+        return [m for m in announced if m.data_centre == centre]
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -216,6 +216,7 @@
     name: str,
     region: str = "north",
     centre: str = "",
+    link_mbps: float = 0.0,
 ) -> steering.Member:
     """Build the announcement of a host on a platform."""
     return steering.Member(
@@ -226,6 +227,7 @@
         internal_address=f"{name}:81",
         heartbeat_address=f"{name}:82",
         incarnation=1,
+        link_mbps=link_mbps,
     )
 
 
--- a/tests/edge/virtualfleet.py
+++ b/tests/edge/virtualfleet.py
@@ -350,7 +350,7 @@
             is_fast = number // len(centres) < FAST_HOSTS_PER_CENTRE
             mbps = FAST_LINK_MBPS if is_fast else SLOW_LINK_MBPS
             member = builders.build_member(
-                f"h{number}", CENTRES[centre], centre
+                f"h{number}", CENTRES[centre], centre, mbps
             )
             self.members[member.name] = member
             self.hosts[member.name] = Host(self, member, mbps)
--- a/tests/platform/test_codec.py
+++ b/tests/platform/test_codec.py
@@ -137,3 +137,24 @@
 def test_truncated_settings_file_is_an_error(text) -> None:
     with pytest.raises(exceptions.PlatformSettingsError):
         settings.parse_settings(text)
+
+
+def test_link_is_read_from_the_limits_of_the_machine() -> None:
+    text = """
+node_name = "h1"
+ip = "10.0.0.1"
+zone = "north-a"
+region = "north"
+internal_ports = [7600, 7615]
+[zones]
+north-a = "north"
+[listen]
+front = "10.0.0.1:1"
+ready = "10.0.0.1:2"
+directory = "10.0.0.1:3"
+[platform]
+address = "10.0.0.9:4"
+"""
+    limits = "[limits]\ncpu_share = 0.86\nlink_mbps = 12.5\n"
+    assert settings.parse_settings(text)[0].limits.link_mbps == 0.0
+    assert settings.parse_settings(text + limits)[0].limits.link_mbps == 12.5
--- a/tests/steering/test_overlay.py
+++ b/tests/steering/test_overlay.py
@@ -173,3 +173,17 @@
     after = overlay.choose_remote_relays(0, 1.0)
     assert len(after) == len(before)
     assert not {m.name for m in after} & gone
+
+
+def test_relays_are_the_hosts_with_the_most_bandwidth() -> None:
+    own = builders.build_member("h0")
+    membership = memberships.Membership(own)
+    for number in range(1, 30):
+        mbps = 200.0 if number in (11, 17) else 10.0
+        member = builders.build_member(f"h{number}", link_mbps=mbps)
+        membership.set_member(member.name, member, 0.0)
+    overlay = overlays.Overlay(membership)
+    assert overlay.list_relays("north", 0.1) == {"h11", "h17"}
+    membership.record_heartbeat("h17", 1, True, 0.1)
+    assert "h11" in overlay.list_relays("north", 0.4)
+    assert "h17" not in overlay.list_relays("north", 0.4)
