Ask other hosts and the store only for what came after

Callers were answered by an older configuration while hosts asked each other in vain: one request that timed out made a host read the whole store (ten pages), all of a data centre at once; all asked the same host, the first with the newest revision; a revision heard of during a request was asked for at the next heartbeat only.

A host that is behind now asks one host after another until none is ahead; those that are equally near share the requests by bandwidth; a request without an answer is followed by one watch of the store from the own revision, in place of a whole read.

What is left where all links are narrow: heartbeats take most of a relay's link.

The tests of the watcher's three changes failed before, as did the one on shared requests. Of the tests that existed, two follow the changed interface: choose_source takes the hosts that are ahead (that others are not asked is now tested on the watcher), and the test of a host that does not answer waits for the poll in place of loop turns.

--- a/src/cowslipshift/edge/watcher.py
+++ b/src/cowslipshift/edge/watcher.py
@@ -2,8 +2,9 @@
 
 In each region one host, chosen by rendezvous hashing, watches the store. The
 others fetch changes from a host whose heartbeat reports a newer revision,
-preferably a near one. A host that hears of none, or gets no answer, reads
-the store itself.
+preferably a near one. A host that hears of none watches the store itself; one
+that gets no answer asks the store once for what came after its revision, and
+other hosts meanwhile.
 """
 
 from __future__ import annotations
@@ -25,6 +26,7 @@
     from cowslipshift import clock as clocks
     from cowslipshift.edge import messages
     from cowslipshift.steering import membership as memberships
+    from cowslipshift.steering import model
     from cowslipshift.steering import overlay as overlays
 
 WATCH_WAIT_S = 2.0
@@ -34,6 +36,7 @@
 """Pause between two watch calls, so that one call gets a burst of changes."""
 
 IDLE_POLL_INTERVAL_S = 0.2
+SOURCE_POLL_INTERVAL_S = 0.1
 STORE_RETRY_DELAY_S = 0.3
 STORE_LOSS_MEMORY_S = 3.0
 """How long a host that could not reach the store is taken to be cut off from
@@ -95,6 +98,7 @@
         self._on_store_failure = on_store_failure
         self._on_revision = on_revision
         self._needs_snapshot = True
+        self._needs_changes = False
         self._is_fetching = False
         self._peers_reaching_store: dict[str, bool] = {}
         self._peer_revisions: dict[str, int] = {}
@@ -104,7 +108,9 @@
     async def run(self) -> None:
         """Follow the store until cancelled."""
         while True:
-            if not self._needs_snapshot and not self.is_watching:
+            if not (
+                self._needs_snapshot or self._needs_changes or self.is_watching
+            ):
                 await asyncio.sleep(IDLE_POLL_INTERVAL_S)
                 continue
             try:
@@ -130,24 +136,37 @@
         )
         self._peer_revisions[heartbeat.host] = heartbeat.revision
         if heartbeat.revision > self.replica.revision:
-            self._catch_up()
+            self._start_catching_up()
 
-    def _catch_up(self) -> None:
-        """Start fetching changes from another host, if there is one to ask."""
-        now = self._clock.now()
-        if self._behind_since_s is None:
-            self._behind_since_s = now
+    def _start_catching_up(self) -> None:
         if self._is_fetching:
             return
-        source = self._overlay.choose_source(
-            self._peer_revisions,
-            self.replica.revision,
-            now - self._behind_since_s,
-            now,
+        self._is_fetching = True
+        if self._behind_since_s is None:
+            self._behind_since_s = self._clock.now()
+        asyncio.ensure_future(self._catch_up(self._behind_since_s))
+
+    async def _catch_up(self, since_s: float) -> None:
+        """Fetch changes until no host that can be asked is ahead."""
+        try:
+            while ahead := self._list_ahead():
+                now = self._clock.now()
+                source = self._overlay.choose_source(ahead, now - since_s, now)
+                if source is None:
+                    await asyncio.sleep(SOURCE_POLL_INTERVAL_S)
+                else:
+                    await self._fetch_from(source)
+        finally:
+            self._is_fetching = False
+
+    def _list_ahead(self) -> list[model.Member]:
+        """Return the hosts that have reported a newer revision."""
+        found = (
+            self._membership.find_member(name)
+            for name, revision in self._peer_revisions.items()
+            if revision > self.replica.revision
         )
-        if source is not None:
-            self._is_fetching = True
-            asyncio.ensure_future(self._fetch_from(source))
+        return [member for member in found if member is not None]
 
     def record_store_result(
         self, has_succeeded: bool, reason: object = ""
@@ -199,6 +218,7 @@
                 self.replica.apply_snapshot(snapshot.items, snapshot.revision)
             )
             return
+        self._needs_changes = False
         found = await self._store.watch_prefix(
             ALL_KEYS, self.replica.revision, WATCH_WAIT_S
         )
@@ -207,40 +227,37 @@
         if found.items:
             await asyncio.sleep(BATCH_PAUSE_S)
 
-    async def _fetch_from(self, host: str) -> None:
-        member = next(
-            (m for m in self._membership.list_peers() if m.name == host), None
-        )
+    async def _fetch_from(self, member: model.Member) -> None:
         after, started_s = self.replica.revision, self._clock.now()
         try:
-            if member is not None:
-                found = await self._client.fetch_changes(
-                    member.internal_address, after
-                )
-                self._log.info(
-                    "changes_fetched",
-                    peer=host,
-                    after=after,
-                    revision=found.revision,
-                    items=len(found.items),
-                    snapshot=found.is_snapshot,
-                    took_ms=(self._clock.now() - started_s) * 1000,
-                )
-                self._apply_fetched(found)
+            found = await self._client.fetch_changes(
+                member.internal_address, after
+            )
         except exceptions.PeerError as error:
             self._log.warn(
                 "peer_silent",
-                peer=host,
+                peer=member.name,
                 reason=error.message,
                 after=after,
                 took_ms=(self._clock.now() - started_s) * 1000,
             )
             # Until its next heartbeat this host is not asked again, however
             # near it is.
-            self._peer_revisions.pop(host, None)
-            self._needs_snapshot = True
-        finally:
-            self._is_fetching = False
+            self._peer_revisions.pop(member.name, None)
+            self._needs_changes = True
+            return
+        self._log.info(
+            "changes_fetched",
+            peer=member.name,
+            after=after,
+            revision=found.revision,
+            items=len(found.items),
+            snapshot=found.is_snapshot,
+            took_ms=(self._clock.now() - started_s) * 1000,
+        )
+        if found.revision <= after:
+            self._peer_revisions.pop(member.name, None)
+        self._apply_fetched(found)
 
     def _apply_fetched(self, found: messages.Changes) -> None:
         if found.revision <= self.replica.revision:
@@ -252,7 +269,8 @@
         self._notify(changed)
 
     def _notify(self, changed: list[interface.Item]) -> None:
-        self._behind_since_s = None
+        if not self._list_ahead():
+            self._behind_since_s = None
         for item in changed:
             self._on_change(item)
         if changed:
--- a/src/cowslipshift/steering/overlay.py
+++ b/src/cowslipshift/steering/overlay.py
@@ -26,6 +26,9 @@
 """How long the choice of relays is cached; failures are detected in seconds.
 """
 
+DEFAULT_LINK_MBPS = 10.0
+"""Bandwidth assumed of a host that does not state its own."""
+
 CROSS_CENTRE_DELAY_S = 0.3
 """How long a host waits for its own data centre to pass on a revision that
 it has heard of before it asks another data centre."""
@@ -121,47 +124,42 @@
         return member is not None and self._is_local(member)
 
     def choose_source(
-        self,
-        revisions: dict[str, int],
-        known: int,
-        behind_s: float,
-        now: float,
-    ) -> str | None:
-        """Return the host to ask for the changes after a revision.
+        self, ahead: list[model.Member], behind_s: float, now: float
+    ) -> model.Member | None:
+        """Return the host to ask for changes; ``None`` if it is too early.
 
         In a data centre, the relays ask another data centre and the other
-        hosts ask them.
+        hosts ask them. Hosts that are equally near share the requests in
+        proportion to their bandwidth.
 
         Args:
-            revisions: Revision that each other host has reported.
-            known: Own revision.
+            ahead: Hosts that have reported a newer revision, at least one.
             behind_s: How long a newer revision has been known of.
             now: Present time.
         """
-        ahead = [
-            name for name, revision in revisions.items() if revision > known
-        ]
-        members = [self._membership.find_member(name) for name in ahead]
-        found = [member for member in members if member is not None]
-        if not found:
-            return None
-        best = max(
-            found, key=lambda member: self._rate_source(member, revisions)
-        )
+        nearest = max(self._rate_nearness(member) for member in ahead)
+        candidates = {
+            member.name: member
+            for member in ahead
+            if self._rate_nearness(member) == nearest
+        }
+        weights = {
+            name: member.link_mbps or DEFAULT_LINK_MBPS
+            for name, member in candidates.items()
+        }
+        ranked = hashing.rank_weighted(f"ask|{self._own.name}", weights)
+        best = candidates[ranked[0]]
         if not self._membership.uses_relays or self._is_local(best):
-            return best.name
+            return best
         is_own_region = best.region == self._own.region
         if is_own_region and self.is_relay(now):
-            return best.name
-        return best.name if behind_s >= CROSS_CENTRE_DELAY_S else None
+            return best
+        return best if behind_s >= CROSS_CENTRE_DELAY_S else None
 
-    def _rate_source(
-        self, member: model.Member, revisions: dict[str, int]
-    ) -> tuple[bool, bool, int]:
+    def _rate_nearness(self, member: model.Member) -> tuple[bool, bool]:
         return (
             self._is_local(member),
             member.region == self._own.region,
-            revisions[member.name],
         )
 
     def _is_local(self, member: model.Member) -> bool:
--- a/tests/edge/test_heartbeats.py
+++ b/tests/edge/test_heartbeats.py
@@ -238,7 +238,6 @@
             msgspec.structs.replace(heartbeat, host=host, revision=9)
         )
         fleet.clock.seconds += 0.5
-        for _ in range(3):
-            await asyncio.sleep(0)
+        await asyncio.sleep(2 * watchers.SOURCE_POLL_INTERVAL_S)
     assert asked == ["h3", "h1"]
     assert watcher.replica.revision == 9
--- /dev/null
+++ b/tests/edge/test_watcher.py
@@ -0,0 +1,157 @@
+"""How a host follows the store, itself and through other hosts."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import pytest
+from tests import builders
+
+from cowslipshift import clock as clocks
+from cowslipshift.edge import exceptions
+from cowslipshift.edge import messages
+from cowslipshift.edge import watcher as watchers
+from cowslipshift.standins import platformfleet
+from cowslipshift.steering import overlay as overlays
+from cowslipshift.store import interface
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+REVISION = 5
+
+
+class Store:
+    """Records its calls; a watch returns what was written."""
+
+    def __init__(self) -> None:
+        self.calls: list[str] = []
+        self.revision = REVISION
+
+    async def read_prefix(self, prefix: str) -> interface.Snapshot:
+        self.calls.append("read")
+        return interface.Snapshot((), self.revision)
+
+    async def watch_prefix(
+        self, prefix: str, after: int, wait_s: float
+    ) -> interface.Snapshot:
+        self.calls.append(f"watch {after}")
+        if after == self.revision:
+            await asyncio.sleep(wait_s)
+        return interface.Snapshot((), self.revision)
+
+
+class Client:
+    """Answers with the revision that the other host has, or fails."""
+
+    def __init__(self) -> None:
+        self.revisions: dict[str, int] = {}
+        self.asked: list[str] = []
+        self.answers = asyncio.Event()
+        self.answers.set()
+
+    async def fetch_changes(
+        self, address: str, after: int
+    ) -> messages.Changes:
+        name = address.partition(":")[0]
+        self.asked.append(name)
+        if name not in self.revisions:
+            raise exceptions.PeerError("no answer")
+        found = messages.Changes(self.revisions[name], False, ())
+        await self.answers.wait()
+        return found
+
+
+class Setup:
+    """A host whose region is watched by another one."""
+
+    def __init__(self) -> None:
+        self.store = Store()
+        self.client = Client()
+        self.membership = builders.build_balancer("h1").membership
+        self.watcher = watchers.Watcher(
+            clocks.SystemClock(),
+            self.store,
+            self.membership,
+            overlays.Overlay(self.membership),
+            self.client,
+            lambda item: None,
+            lambda: None,
+            lambda: None,
+        )
+
+    def hear(self, name: str, revision: int) -> None:
+        now = clocks.SystemClock().now()
+        if self.membership.find_member(name) is None:
+            member = builders.build_member(name)
+            self.membership.set_member(name, member, now)
+        self.membership.record_heartbeat(name, 1, False, now)
+        self.watcher.record_heartbeat(
+            messages.Heartbeat(
+                name, 1, 1, revision, False, False, True, [], []
+            )
+        )
+
+
+@pytest.fixture
+async def setup(
+    monkeypatch: pytest.MonkeyPatch,
+) -> AsyncIterator[Setup]:
+    started = Setup()
+    monkeypatch.setattr(watchers.Watcher, "is_watching", False)
+    task = asyncio.create_task(started.watcher.run())
+    await platformfleet.wait_until(lambda: started.watcher.replica.revision)
+    started.store.calls.clear()
+    yield started
+    task.cancel()
+
+
+async def test_host_that_is_not_ahead_is_not_asked(setup) -> None:
+    setup.hear("h2", REVISION)
+    await asyncio.sleep(2 * watchers.SOURCE_POLL_INTERVAL_S)
+    assert setup.client.asked == []
+
+
+# Guards against hosts that all read the whole store, over links that are
+# narrow, because one host did not answer them in time.
+async def test_host_without_an_answer_asks_the_store_for_changes_only(
+    setup,
+) -> None:
+    setup.store.revision = 9
+    setup.hear("h2", 9)
+    await platformfleet.wait_until(lambda: setup.watcher.replica.revision == 9)
+    assert setup.client.asked == ["h2"]
+    assert setup.store.calls == [f"watch {REVISION}"]
+
+
+# Guards against a host that stays behind until the next heartbeat, because the
+# one that told it of a newer revision came while it was asking for an older.
+async def test_revision_heard_of_while_asking_is_asked_for_next(
+    setup,
+) -> None:
+    setup.client.answers.clear()
+    setup.client.revisions["h2"] = 7
+    setup.hear("h2", 7)
+    await platformfleet.wait_until(lambda: setup.client.asked)
+    setup.client.revisions["h2"] = 9
+    setup.hear("h2", 9)
+    setup.client.answers.set()
+    await platformfleet.wait_until(lambda: setup.watcher.replica.revision == 9)
+    assert setup.client.asked == ["h2", "h2"]
+    assert setup.watcher.measure_behind(clocks.SystemClock().now()) == 0
+
+
+async def test_host_that_claims_more_than_it_has_is_asked_once(setup) -> None:
+    setup.client.revisions["h2"] = REVISION
+    setup.hear("h2", 9)
+    await asyncio.sleep(3 * watchers.SOURCE_POLL_INTERVAL_S)
+    assert setup.client.asked == ["h2"]
+
+
+async def test_unregistered_host_that_is_ahead_is_not_asked(setup) -> None:
+    setup.watcher.record_heartbeat(
+        messages.Heartbeat("h9", 1, 1, 9, False, False, True, [], [])
+    )
+    await asyncio.sleep(2 * watchers.SOURCE_POLL_INTERVAL_S)
+    assert setup.client.asked == []
--- a/tests/steering/test_overlay.py
+++ b/tests/steering/test_overlay.py
@@ -4,6 +4,7 @@
 
 import collections
 
+import msgspec
 import pytest
 from tests import builders
 
@@ -145,21 +146,42 @@
 
 def test_relays_of_a_data_centre_ask_another_one() -> None:
     fleet = Fleet(60)
-    revisions = {"h1": 7}
+    by_name = {member.name: member for member in fleet.members}
+    ahead = [by_name["h1"]]
     local, far = fleet.find_centre("h1"), "n-a"
     assert CENTRES[local] == CENTRES[far] and local != far
     asking = [
         name
         for name, overlay in fleet.overlays.items()
-        if overlay.choose_source(revisions, 6, 0.0, 0.0) is not None
+        if overlay.choose_source(ahead, 0.0, 0.0) is not None
         and fleet.find_centre(name) == far
     ]
     assert len(asking) == overlays.RELAYS_PER_DATA_CENTRE
     waiting_host = fleet.overlays["h0"]
     late = overlays.CROSS_CENTRE_DELAY_S + 0.1
-    assert waiting_host.choose_source(revisions, 6, late, 0.0) == "h1"
-    assert waiting_host.choose_source(revisions, 7, late, 0.0) is None
-    assert waiting_host.choose_source({"h1": 7, "h4": 7}, 6, 0.0, 0.0) == "h4"
+    assert waiting_host.choose_source(ahead, late, 0.0) is by_name["h1"]
+    ahead.append(by_name["h4"])
+    assert waiting_host.choose_source(ahead, 0.0, 0.0) is by_name["h4"]
+
+
+def test_hosts_that_are_equally_near_share_the_requests() -> None:
+    fleet = Fleet(60)
+    local = [m for m in fleet.members if m.data_centre == "n-a"]
+    sources, askers = local[:3], local[3:]
+    asked = collections.Counter(
+        fleet.overlays[asker.name].choose_source(sources, 0.0, 0.0).name
+        for asker in askers
+    )
+    assert len(asked) == len(sources)
+    wide = [
+        msgspec.structs.replace(sources[0], link_mbps=1000.0),
+        *sources[1:],
+    ]
+    asked = collections.Counter(
+        fleet.overlays[asker.name].choose_source(wide, 0.0, 0.0).name
+        for asker in askers
+    )
+    assert asked[sources[0].name] > len(askers) / 2
 
 
 def test_relay_that_is_gone_is_replaced_at_once() -> None:
