Give up answers that do not end

Callers would see: hosts that run out of memory and are restarted, with all requests that they hold, when a backend server sends bytes without end; or requests that wait until their deadline for blank lines, interim answers or the framing of chunks.

Cause: an answer was read whole with no limit but its deadline, and the HTTP library limits single lines and heads only. Ruled out: header lines and bytes that are no answer, which the library gives up at once.

A connection now counts what arrives for a request, an answer's body has a limit (8 MiB), and so have all answers that a host holds at once (64 MiB). Same cause elsewhere: answers of the store and of other hosts were read without a limit, too (now 32 MiB). The hosts without a platform stream bodies and were not changed.

--- a/src/cowslipshift/edge/peerclient.py
+++ b/src/cowslipshift/edge/peerclient.py
@@ -6,6 +6,7 @@
 
 import aiohttp
 
+from cowslipshift import bodies
 from cowslipshift.edge import exceptions
 from cowslipshift.edge import messages
 
@@ -14,6 +15,9 @@
 
 PEER_TIMEOUT_S = 0.6
 
+MAX_CHANGES_BYTES = 32 * 1024 * 1024
+"""Several times the items of a store with 10,000 entries."""
+
 
 class PeerClient:
     """Client of the internal HTTP interface of other hosts.
@@ -50,7 +54,7 @@
                 params={"after": str(after)},
                 timeout=aiohttp.ClientTimeout(total=PEER_TIMEOUT_S),
             ) as response:
-                raw = await response.read()
+                raw = await bodies.read_body(response, MAX_CHANGES_BYTES)
                 status = response.status
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
             self._on_fetch("none", 0)
--- a/src/cowslipshift/edge/upstream.py
+++ b/src/cowslipshift/edge/upstream.py
@@ -12,6 +12,7 @@
 import multidict
 import yarl
 
+from cowslipshift import bodies
 from cowslipshift.edge import exceptions
 
 CONNECT_TIMEOUT_S = 0.4
@@ -22,6 +23,16 @@
 """Shorter than the time after which backend servers close idle
 connections."""
 
+MAX_ANSWER_BYTES = 8 * 1024 * 1024
+"""Largest body of an answer. A faulty backend server may send without end."""
+
+MAX_RECEIVED_BYTES = MAX_ANSWER_BYTES + 1024 * 1024
+"""Bytes that may arrive for one request, with heads, interim answers and the
+framing of chunks."""
+
+MAX_BUFFERED_BYTES = 64 * 1024 * 1024
+"""Bytes of all answers that are being read; hosts have 200 MB and more."""
+
 SKIPPED_HEADERS = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
 
 
@@ -34,12 +45,37 @@
 
 
 class _Connection(client_proto.ResponseHandler):
-    """A connection that reports a reset in the middle of an answer.
+    """A connection that reports resets and limits what arrives.
 
     An answer without a length ends when its connection closes; aiohttp takes
-    any end of the connection, even a reset, for the end of the answer.
+    any end of the connection, even a reset, for the end of the answer. It
+    does not limit interim answers, blank lines or the framing of chunks.
     """
 
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        super().__init__(loop)
+        self._received_bytes = 0
+
+    def set_response_params(self, **params: Any) -> None:
+        """Prepare for the answer to another request."""
+        self._received_bytes = 0
+        super().set_response_params(**params)
+
+    def data_received(self, data: bytes) -> None:
+        """Fail the answer if too much has arrived for it."""
+        self._received_bytes += len(data)
+        if self._received_bytes <= MAX_RECEIVED_BYTES:
+            super().data_received(data)
+            return
+        error = aiohttp.ClientPayloadError(
+            f"more than {MAX_RECEIVED_BYTES} bytes arrived"
+        )
+        if self._payload is not None and not self._payload.is_eof():
+            self._payload.set_exception(error)
+        self.set_exception(error)
+        if self.transport is not None:
+            self.transport.abort()
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """Fail the answer that is being read if the connection was reset."""
         payload = self._payload
@@ -81,6 +117,7 @@
 
     def __init__(self) -> None:
         self._session = _open_session()
+        self._buffered_bytes = 0
 
     async def send(
         self,
@@ -115,7 +152,7 @@
                     data=body,
                     allow_redirects=False,
                 ) as response:
-                    content = await response.read()
+                    content = await self._read_body(response)
                     return Answer(response.status, response.headers, content)
         except (
             aiohttp.ClientConnectorError,
@@ -129,6 +166,24 @@
         except (aiohttp.ClientError, OSError, ValueError) as error:
             raise exceptions.AnswerLostError(repr(error), False) from error
 
+    async def _read_body(self, response: aiohttp.ClientResponse) -> bytes:
+        kept_bytes = 0
+
+        def keep(size: int) -> None:
+            nonlocal kept_bytes
+            if self._buffered_bytes + size > MAX_BUFFERED_BYTES:
+                response.close()
+                raise aiohttp.ClientPayloadError(
+                    f"all answers are larger than {MAX_BUFFERED_BYTES} bytes"
+                )
+            kept_bytes += size
+            self._buffered_bytes += size
+
+        try:
+            return await bodies.read_body(response, MAX_ANSWER_BYTES, keep)
+        finally:
+            self._buffered_bytes -= kept_bytes
+
     async def close(self) -> None:
         """Close all connections."""
         await self._session.close()
--- a/src/cowslipshift/platform/store.py
+++ b/src/cowslipshift/platform/store.py
@@ -10,6 +10,7 @@
 import aiohttp
 import msgspec
 
+from cowslipshift import bodies
 from cowslipshift.platform import names
 from cowslipshift.store import exceptions
 from cowslipshift.store import interface
@@ -23,6 +24,9 @@
 
 WATCH_MARGIN_S = 1.0
 
+MAX_ANSWER_BYTES = 32 * 1024 * 1024
+"""Several times a page, and what changes within the store's history."""
+
 
 class _WireItem(msgspec.Struct):
     key: str
@@ -162,7 +166,7 @@
                 json=body,
                 timeout=aiohttp.ClientTimeout(total=timeout_s),
             ) as response:
-                raw = await response.read()
+                raw = await bodies.read_body(response, MAX_ANSWER_BYTES)
                 status = response.status
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
             self._on_call(kind, "none")
--- /dev/null
+++ b/tests/edge/test_upstream.py
@@ -0,0 +1,114 @@
+"""Answers of backend servers that do not end."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+
+import pytest
+
+from cowslipshift.edge import exceptions
+from cowslipshift.edge import upstream
+
+HEAD = b"HTTP/1.1 200 OK\r\n"
+CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+DEADLINE_S = 20.0
+
+ENDLESS = {
+    "header line": (HEAD + b"X-A: ", b"z" * 65536),
+    "header lines": (HEAD, b"X-A: yyyyyyyyyyyyyyyyyyyy\r\n" * 1000),
+    "no answer": (b"", b"z" * 65536),
+    "blank lines": (b"", b"\r\n" * 30000),
+    "continue": (b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 1000),
+    "early hints": (b"", b"HTTP/1.1 103 Hints\r\nX: y\r\n\r\n" * 1000),
+    "body": (HEAD + b"\r\n", b"z" * 65536),
+    "chunks": (CHUNKED, b"10000\r\n" + b"z" * 65536 + b"\r\n"),
+    "chunk extension": (CHUNKED + b"5;", b"z" * 65536),
+    "trailers": (CHUNKED + b"0\r\n", b"X-A: yyyyyyyyyyyyyyyyyy\r\n" * 1000),
+}
+
+
+class EndlessServer:
+    """Answers with a start, then a part again and again until closed."""
+
+    def __init__(self, start: bytes, part: bytes) -> None:
+        self.sent_bytes = 0
+        self.closed = asyncio.Event()
+        self._start = start
+        self._part = part
+
+    async def serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(self._start)
+        with contextlib.suppress(ConnectionError):
+            while not writer.transport.is_closing():
+                writer.write(self._part)
+                self.sent_bytes += len(self._part)
+                await writer.drain()
+        self.closed.set()
+        writer.transport.abort()
+
+
+# Guards against a host that runs out of memory, or spends the time until the
+# deadline, on bytes without end from one backend server.
+@pytest.mark.parametrize("kind", ENDLESS)
+async def test_endless_answer_is_given_up_early(kind: str) -> None:
+    endless = EndlessServer(*ENDLESS[kind])
+    server = await asyncio.start_server(endless.serve, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    client = upstream.UpstreamClient()
+    loop = asyncio.get_running_loop()
+    started_s = loop.time()
+    with pytest.raises(exceptions.AnswerLostError) as raised:
+        await client.send(
+            f"127.0.0.1:{port}", "GET", "/", [("Host", "x")], None, DEADLINE_S
+        )
+    assert not raised.value.is_timeout
+    assert loop.time() - started_s < DEADLINE_S / 2
+    async with asyncio.timeout(DEADLINE_S):
+        await endless.closed.wait()
+    # What has left the server may still lie in the buffers between.
+    assert endless.sent_bytes < 3 * upstream.MAX_RECEIVED_BYTES
+    assert client._buffered_bytes == 0
+    await client.close()
+    server.close()
+
+
+async def test_answers_together_are_limited(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(upstream, "MAX_BUFFERED_BYTES", 1024)
+    body = b"z" * 700
+    answer = HEAD + b"Content-Length: 700\r\n\r\n" + body[:600]
+    goes_on = asyncio.Event()
+
+    async def serve(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(answer)
+        await goes_on.wait()
+        writer.write(body[600:])
+        writer.close()
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    client = upstream.UpstreamClient()
+
+    async def send() -> upstream.Answer:
+        return await client.send(
+            f"127.0.0.1:{port}", "GET", "/", [("Host", "x")], None, DEADLINE_S
+        )
+
+    first = asyncio.create_task(send())
+    while client._buffered_bytes < 600:
+        await asyncio.sleep(0.01)
+    with pytest.raises(exceptions.AnswerLostError):
+        await send()
+    goes_on.set()
+    assert (await first).body == body
+    assert client._buffered_bytes == 0
+    await client.close()
+    server.close()
