--- a/tests/edge/test_propagation.py
+++ b/tests/edge/test_propagation.py
@@ -20,21 +20,41 @@
 BOUND_S = 3.0
 """Time within which operators require a configuration to be in force."""
 
+FAST_HOSTS = 2
+"""Hosts of each data centre that have a fast link, unless a test has none."""
+
 SEEDS = range(int(os.environ.get("COWSLIPSHIFT_PROPAGATION_SEEDS", "2")))
 
 
+@pytest.fixture(autouse=True)
+def decoded_once(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Decode every heartbeat once, not for each host that receives it."""
+    decode = functools.lru_cache(4096)(messages.decode_heartbeat)
+    monkeypatch.setattr(messages, "decode_heartbeat", decode)
+
+
+def run_fleet(
+    seed: int, fast_hosts: int
+) -> Iterator[virtualfleet.VirtualFleet]:
+    fleet = virtualfleet.VirtualFleet(HOSTS, BACKENDS, seed, fast_hosts)
+    fleet.start()
+    fleet.run(START_S)
+    yield fleet
+    fleet.close()
+
+
 @pytest.fixture(params=SEEDS)
 def fleet(
-    request: pytest.FixtureRequest, monkeypatch: pytest.MonkeyPatch
+    request: pytest.FixtureRequest,
 ) -> Iterator[virtualfleet.VirtualFleet]:
-    # Every heartbeat is decoded once, not by each host that receives it.
-    decode = functools.lru_cache(4096)(messages.decode_heartbeat)
-    monkeypatch.setattr(messages, "decode_heartbeat", decode)
-    started = virtualfleet.VirtualFleet(HOSTS, BACKENDS, request.param)
-    started.start()
-    started.run(START_S)
-    yield started
-    started.close()
+    yield from run_fleet(request.param, FAST_HOSTS)
+
+
+@pytest.fixture(params=SEEDS)
+def narrow_fleet(
+    request: pytest.FixtureRequest,
+) -> Iterator[virtualfleet.VirtualFleet]:
+    yield from run_fleet(request.param, 0)
 
 
 def write_storm(
@@ -63,14 +83,33 @@
     assert_in_time(fleet, written_s)
 
 
-# Guards against hosts that fall behind for as long as the store turns them
-# away, and against those that they burden meanwhile.
-def test_configurations_reach_hosts_that_the_store_turns_away(fleet) -> None:
-    refused = set(fleet.draw.sample(sorted(fleet.hosts), HOSTS // 3))
-    fleet.store.refused = refused
+def turn_hosts_away(
+    fleet: virtualfleet.VirtualFleet,
+) -> dict[int, float]:
+    """Let the store turn a third of the hosts away for 9 s.
+
+    Returns:
+        Times of the configurations that are written meanwhile and after.
+    """
+    fleet.store.refused = set(
+        fleet.draw.sample(sorted(fleet.hosts), HOSTS // 3)
+    )
     written_s = write_storm(fleet, 4, 0.1)
     fleet.run(4.5)
     written_s |= write_storm(fleet, 1, 4.0)
     fleet.store.refused = set()
-    written_s |= write_storm(fleet, 1, 0.1)
-    assert_in_time(fleet, written_s)
+    return written_s | write_storm(fleet, 1, 0.1)
+
+
+# Guards against hosts that fall behind for as long as the store turns them
+# away, and against those that they burden meanwhile.
+def test_configurations_reach_hosts_that_the_store_turns_away(fleet) -> None:
+    assert_in_time(fleet, turn_hosts_away(fleet))
+
+
+# Guards against relays whose links are filled by heartbeats, so that changes
+# wait behind them.
+def test_configurations_reach_all_hosts_over_narrow_links(
+    narrow_fleet,
+) -> None:
+    assert_in_time(narrow_fleet, turn_hosts_away(narrow_fleet))
--- a/tests/edge/virtualfleet.py
+++ b/tests/edge/virtualfleet.py
@@ -35,7 +35,6 @@
     for region in ("north", "south", "west")
     for centre in "abc"
 }
-FAST_HOSTS_PER_CENTRE = 2
 FAST_LINK_MBPS = 200.0
 SLOW_LINK_MBPS = 10.0
 LOCAL_LATENCY_S = 0.0001
@@ -332,9 +331,12 @@
         hosts: Number of hosts.
         backends: Number of backend servers that the store names.
         seed: Seed of what is drawn.
+        fast_hosts: Number of hosts in each data centre with a fast link.
     """
 
-    def __init__(self, hosts: int, backends: int, seed: int) -> None:
+    def __init__(
+        self, hosts: int, backends: int, seed: int, fast_hosts: int
+    ) -> None:
         self.loop = VirtualTimeLoop()
         asyncio.set_event_loop(self.loop)
         self.clock = Clock(self.loop)
@@ -347,7 +349,7 @@
         self.hosts: dict[str, Host] = {}
         for number in range(hosts):
             centre = centres[number % len(centres)]
-            is_fast = number // len(centres) < FAST_HOSTS_PER_CENTRE
+            is_fast = number // len(centres) < fast_hosts
             mbps = FAST_LINK_MBPS if is_fast else SLOW_LINK_MBPS
             member = builders.build_member(
                 f"h{number}", CENTRES[centre], centre, mbps
