--- a/src/cowslipshift/edge/watcher.py
+++ b/src/cowslipshift/edge/watcher.py
@@ -144,14 +144,16 @@
         self._is_fetching = True
         if self._behind_since_s is None:
             self._behind_since_s = self._clock.now()
-        asyncio.ensure_future(self._catch_up(self._behind_since_s))
+        asyncio.ensure_future(self._catch_up())
 
-    async def _catch_up(self, since_s: float) -> None:
+    async def _catch_up(self) -> None:
         """Fetch changes until no host that can be asked is ahead."""
         try:
             while ahead := self._list_ahead():
                 now = self._clock.now()
-                source = self._overlay.choose_source(ahead, now - since_s, now)
+                source = self._overlay.choose_source(
+                    ahead, self.measure_behind(now), now
+                )
                 if source is None:
                     await asyncio.sleep(SOURCE_POLL_INTERVAL_S)
                 else:
@@ -178,7 +180,10 @@
             self._record_store_failure(reason)
 
     def measure_behind(self, now: float) -> float:
-        """Return for how long a newer revision has been known of."""
+        """Return for how long a newer revision has been known of.
+
+        Every change that is applied starts the time again.
+        """
         if self._behind_since_s is None:
             return 0.0
         return now - self._behind_since_s
@@ -269,8 +274,9 @@
         self._notify(changed)
 
     def _notify(self, changed: list[interface.Item]) -> None:
-        if not self._list_ahead():
-            self._behind_since_s = None
+        self._behind_since_s = (
+            self._clock.now() if self._list_ahead() else None
+        )
         for item in changed:
             self._on_change(item)
         if changed:
--- a/tests/edge/test_propagation.py
+++ b/tests/edge/test_propagation.py
@@ -24,6 +24,7 @@
 """Hosts of each data centre that have a fast link, unless a test has none."""
 
 SEEDS = range(int(os.environ.get("COWSLIPSHIFT_PROPAGATION_SEEDS", "2")))
+NARROW_SEEDS = range(max(3, len(SEEDS)))
 
 
 @pytest.fixture(autouse=True)
@@ -50,7 +51,7 @@
     yield from run_fleet(request.param, FAST_HOSTS)
 
 
-@pytest.fixture(params=SEEDS)
+@pytest.fixture(params=NARROW_SEEDS)
 def narrow_fleet(
     request: pytest.FixtureRequest,
 ) -> Iterator[virtualfleet.VirtualFleet]:
--- a/tests/edge/test_watcher.py
+++ b/tests/edge/test_watcher.py
@@ -155,3 +155,20 @@
     )
     await asyncio.sleep(2 * watchers.SOURCE_POLL_INTERVAL_S)
     assert setup.client.asked == []
+
+
+# Guards against hosts that ask another data centre at once, as long as their
+# own passes changes on steadily but new ones keep coming.
+async def test_every_change_applied_starts_the_time_behind_again(
+    setup,
+) -> None:
+    clock = clocks.SystemClock()
+    setup.client.revisions["h2"] = 7
+    setup.client.answers.clear()
+    setup.hear("h2", 9)
+    started_s = clock.now()
+    await platformfleet.wait_until(lambda: clock.now() - started_s > 0.3)
+    assert setup.watcher.measure_behind(clock.now()) > 0.25
+    setup.client.answers.set()
+    await platformfleet.wait_until(lambda: setup.watcher.replica.revision == 7)
+    assert setup.watcher.measure_behind(clock.now()) < 0.25
