Emulate many hosts on the stand-in of the store

The emulator of many hosts had a store of its own, with pages, history, waiting watches and expiring registrations that the stand-in has, too, and copies of the product's time-outs and intervals. The stand-in now offers pages, events and leases beside its HTTP handlers, and the emulator uses them and the product's constants.

--- a/src/cowslipshift/standins/platformstore.py
+++ b/src/cowslipshift/standins/platformstore.py
@@ -106,6 +106,66 @@
         item = self._items.get(key)
         return None if item is None else base64.b64decode(item["value"])
 
+    def list_page(
+        self, prefix: str, after: str
+    ) -> tuple[list[dict[str, Any]], bool]:
+        """Return the items of one page, and whether there are more.
+
+        Args:
+            prefix: Prefix of the keys.
+            after: Last key of the page before; empty for the first page.
+        """
+        keys = sorted(
+            key
+            for key in self._items
+            if key.startswith(prefix) and key > after
+        )
+        items = [self._items[key] for key in keys[:PAGE_ITEMS]]
+        return items, len(keys) > PAGE_ITEMS
+
+    async def wait_for_events(
+        self, prefix: str, after: int, wait_s: float
+    ) -> tuple[list[dict[str, Any]], int] | None:
+        """Wait until something changes after a revision.
+
+        Returns:
+            The changes, none if the time has passed, and the revision up to
+            which they are complete; ``None`` if the history is compacted.
+        """
+        loop = asyncio.get_running_loop()
+        deadline_s = loop.time() + wait_s
+        while True:
+            if after < self._compacted_revision:
+                return None
+            events = [
+                event
+                for event in self._history
+                if event["rev"] > after and event["key"].startswith(prefix)
+            ]
+            remaining_s = deadline_s - loop.time()
+            is_muted = self.faults.mute_watches
+            if (events and not is_muted) or remaining_s <= 0:
+                return ([], after) if is_muted else (events, self.revision)
+            try:
+                async with asyncio.timeout(remaining_s):
+                    await self._changed.wait()
+            except TimeoutError:
+                continue
+
+    def grant_lease(self, ttl_s: float) -> int:
+        """Create a lease and return its id."""
+        lease = self.revision * 1000 + len(self._leases) + 1
+        self._leases[lease] = (self._clock.now() + ttl_s, ttl_s)
+        return lease
+
+    def renew_lease(self, lease: int) -> bool:
+        """Renew a lease; return whether it still exists."""
+        if lease not in self._leases:
+            return False
+        ttl_s = self._leases[lease][1]
+        self._leases[lease] = (self._clock.now() + ttl_s, ttl_s)
+        return True
+
     def compact_history(self) -> None:
         """Drop the history; watches from before this revision get 410."""
         self._history.clear()
@@ -172,45 +232,29 @@
         return handle
 
     async def _serve_range(self, request: web.Request) -> web.Response:
-        prefix = request.query["prefix"]
-        after = request.query.get("after", "")
-        keys = sorted(k for k in self._items if k.startswith(prefix))
-        rest = [key for key in keys if key > after]
+        items, has_more = self.list_page(
+            request.query["prefix"], request.query.get("after", "")
+        )
         return web.json_response(
             {
-                "items": [self._items[key] for key in rest[:PAGE_ITEMS]],
-                "has_more": len(rest) > PAGE_ITEMS,
+                "items": items,
+                "has_more": has_more,
                 "store_revision": self.revision,
             }
         )
 
     async def _serve_watch(self, request: web.Request) -> web.Response:
-        prefix = request.query["prefix"]
-        after = int(request.query["after"])
-        loop = asyncio.get_running_loop()
-        deadline_s = loop.time() + int(request.query["wait_ms"]) / 1000.0
-        while True:
-            if after < self._compacted_revision:
-                return web.Response(status=410)
-            events = [
-                event
-                for event in self._history
-                if event["rev"] > after and event["key"].startswith(prefix)
-            ]
-            remaining_s = deadline_s - loop.time()
-            is_muted = self.faults.mute_watches
-            if (events and not is_muted) or remaining_s <= 0:
-                return web.json_response(
-                    {
-                        "events": [] if is_muted else events,
-                        "store_revision": after if is_muted else self.revision,
-                    }
-                )
-            try:
-                async with asyncio.timeout(remaining_s):
-                    await self._changed.wait()
-            except TimeoutError:
-                continue
+        found = await self.wait_for_events(
+            request.query["prefix"],
+            int(request.query["after"]),
+            int(request.query["wait_ms"]) / 1000.0,
+        )
+        if found is None:
+            return web.Response(status=410)
+        events, revision = found
+        return web.json_response(
+            {"events": events, "store_revision": revision}
+        )
 
     async def _serve_txn(self, request: web.Request) -> web.Response:
         body = await request.json()
@@ -236,19 +280,14 @@
 
     async def _serve_lease_grant(self, request: web.Request) -> web.Response:
         ttl_ms = (await request.json())["ttl_ms"]
-        lease = self.revision * 1000 + len(self._leases) + 1
-        self._leases[lease] = (
-            self._clock.now() + ttl_ms / 1000.0,
-            ttl_ms / 1000.0,
-        )
+        lease = self.grant_lease(ttl_ms / 1000.0)
         return web.json_response({"lease": lease, "ttl_ms": ttl_ms})
 
     async def _serve_lease_renewal(self, request: web.Request) -> web.Response:
         lease = int(request.match_info["lease"])
-        if lease not in self._leases:
+        if not self.renew_lease(lease):
             return web.Response(status=404)
         ttl_s = self._leases[lease][1]
-        self._leases[lease] = (self._clock.now() + ttl_s, ttl_s)
         return web.json_response({"ttl_ms": int(ttl_s * 1000)})
 
     async def _serve_lease_revocation(
--- a/tests/edge/test_propagation.py
+++ b/tests/edge/test_propagation.py
@@ -92,13 +92,11 @@
     Returns:
         Times of the configurations that are written meanwhile and after.
     """
-    fleet.store.refused = set(
-        fleet.draw.sample(sorted(fleet.hosts), HOSTS // 3)
-    )
+    fleet.refused = set(fleet.draw.sample(sorted(fleet.hosts), HOSTS // 3))
     written_s = write_storm(fleet, 4, 0.1)
     fleet.run(4.5)
     written_s |= write_storm(fleet, 1, 4.0)
-    fleet.store.refused = set()
+    fleet.refused = set()
     return written_s | write_storm(fleet, 1, 0.1)
 
 
--- a/tests/edge/virtualfleet.py
+++ b/tests/edge/virtualfleet.py
@@ -1,25 +1,29 @@
 """Many hosts that follow a store over links of limited bandwidth.
 
-The hosts run the product's watchers and heartbeats; store, network and time
-are simulated, so that a run takes seconds and repeats exactly.
+The hosts run the product's watchers and heartbeats and the store is its
+stand-in; network and time are simulated, so that a run takes seconds and
+repeats exactly.
 """
 
 from __future__ import annotations
 
 import asyncio
-import bisect
-import functools
+import base64
 import random
 from typing import Any
-from typing import TYPE_CHECKING
 
 from tests import builders
 
 from cowslipshift.edge import exceptions
 from cowslipshift.edge import heartbeats
 from cowslipshift.edge import messages
+from cowslipshift.edge import peerclient
+from cowslipshift.edge import registration
+from cowslipshift.edge import service
 from cowslipshift.edge import watcher as watchers
 from cowslipshift.platform import names
+from cowslipshift.platform import store as stores
+from cowslipshift.standins import platformstore
 from cowslipshift.steering import changes
 from cowslipshift.steering import limiters
 from cowslipshift.steering import model
@@ -27,9 +31,6 @@
 from cowslipshift.store import exceptions as store_exceptions
 from cowslipshift.store import interface
 
-if TYPE_CHECKING:
-    from collections.abc import Callable
-
 CENTRES = {
     f"{region}-{centre}": region
     for region in ("north", "south", "west")
@@ -43,12 +44,6 @@
 MAX_QUEUE_S = 0.5
 """Datagrams that would wait longer than this for a link are lost."""
 
-FETCH_TIMEOUT_S = 0.6
-STORE_TIMEOUT_S = 1.0
-PAGE_ITEMS = 50
-TICK_S = 0.1
-LEASE_TTL_S = 6.0
-RENEWAL_INTERVAL_S = 2.0
 ACCOUNTS = 85
 CONFIG_BYTES = 25_000
 ENTRY_BYTES = 350
@@ -99,55 +94,6 @@
         return self._free_s
 
 
-class Store:
-    """A store that pages its items and can turn hosts away."""
-
-    def __init__(self, loop: VirtualTimeLoop) -> None:
-        self.revision = 1
-        self.refused: set[str] = set()
-        self.items: dict[str, interface.Item] = {}
-        self.events: list[interface.Item] = []
-        self.whole_reads = 0
-        self._loop = loop
-        self._changed = asyncio.Event()
-
-    def write(self, key: str, value: bytes | None) -> int:
-        self.revision += 1
-        item = interface.Item(key, value, self.revision)
-        if value is None:
-            self.items.pop(key, None)
-        else:
-            self.items[key] = item
-        self.events.append(item)
-        changed, self._changed = self._changed, asyncio.Event()
-        changed.set()
-        return self.revision
-
-    async def read_page(
-        self, after_key: str
-    ) -> tuple[list[interface.Item], bool, int]:
-        keys = sorted(key for key in self.items if key > after_key)
-        page = [self.items[key] for key in keys[:PAGE_ITEMS]]
-        return page, len(keys) > PAGE_ITEMS, self.revision
-
-    async def wait_for_events(
-        self, after: int, wait_s: float
-    ) -> tuple[list[interface.Item], int]:
-        until_s = self._loop.time() + wait_s
-        while True:
-            index = bisect.bisect_right(
-                self.events, after, key=lambda event: event.revision
-            )
-            remaining_s = until_s - self._loop.time()
-            if index < len(self.events) or remaining_s <= 0.0:
-                return self.events[index:], self.revision
-            try:
-                async with asyncio.timeout(remaining_s):
-                    await self._changed.wait()
-            except TimeoutError:
-                continue
-
-
 class StoreClient:
     """Calls of one host to the store, over the host's link."""
 
@@ -156,40 +102,44 @@
         self._host = host
 
     async def read_prefix(self, prefix: str) -> interface.Snapshot:
-        self._fleet.store.whole_reads += 1
+        store = self._fleet.store
+        self._fleet.whole_reads += 1
         items: list[interface.Item] = []
-        first_revision, has_more, last_key = 0, True, ""
+        first_revision, has_more = 0, True
         while has_more:
-            page, has_more, revision = await self._call(
-                functools.partial(self._fleet.store.read_page, last_key)
-            )
-            first_revision = first_revision or revision
-            items += page
-            last_key = page[-1].key if page else ""
+            await self._send_call()
+            last_key = items[-1].key if items else ""
+            rows, has_more = store.list_page(prefix, last_key)
+            first_revision = first_revision or store.revision
+            items += await self._receive(rows)
         return interface.Snapshot(tuple(items), first_revision)
 
     async def watch_prefix(
         self, prefix: str, after: int, wait_s: float
     ) -> interface.Snapshot:
-        items, revision = await self._call(
-            functools.partial(self._fleet.store.wait_for_events, after, wait_s)
-        )
-        return interface.Snapshot(tuple(items), revision)
+        await self._send_call()
+        found = await self._fleet.store.wait_for_events(prefix, after, wait_s)
+        assert found is not None
+        rows, revision = found
+        return interface.Snapshot(tuple(await self._receive(rows)), revision)
 
-    async def _call(self, call: Callable[[], Any]) -> Any:
+    async def _send_call(self) -> None:
         await asyncio.sleep(FAR_LATENCY_S)
-        if self._host.name in self._fleet.store.refused:
+        if self._host.name in self._fleet.refused:
             raise store_exceptions.StoreUnavailableError("turned away")
-        answer = await call()
-        loop = self._fleet.loop
-        size = sum(_measure(item) * 4 // 3 for item in answer[0])
-        started_s = loop.time()
+
+    async def _receive(
+        self, rows: list[dict[str, Any]]
+    ) -> list[interface.Item]:
+        items = [_decode(row) for row in rows]
+        size = sum(_measure(item) * 4 // 3 for item in items)
+        started_s = self._fleet.loop.time()
         arrival_s = self._host.inbound.transfer(size, started_s)
-        if arrival_s - started_s > STORE_TIMEOUT_S:
-            await asyncio.sleep(STORE_TIMEOUT_S)
+        if arrival_s - started_s > stores.CALL_TIMEOUT_S:
+            await asyncio.sleep(stores.CALL_TIMEOUT_S)
             raise store_exceptions.StoreUnavailableError("no answer in time")
         await asyncio.sleep(arrival_s - started_s + FAR_LATENCY_S)
-        return answer
+        return items
 
 
 class PeerClient:
@@ -210,8 +160,8 @@
         size = 100 + sum(_measure(item) for item in found.items)
         sent_s = source.outbound.transfer(size, fleet.loop.time())
         arrival_s = self._host.inbound.transfer(size, sent_s) + latency_s
-        if arrival_s - now > FETCH_TIMEOUT_S:
-            left_s = now + FETCH_TIMEOUT_S - fleet.loop.time()
+        if arrival_s - now > peerclient.PEER_TIMEOUT_S:
+            left_s = now + peerclient.PEER_TIMEOUT_S - fleet.loop.time()
             await asyncio.sleep(max(0.0, left_s))
             raise exceptions.PeerError("no answer in time")
         await asyncio.sleep(arrival_s - fleet.loop.time())
@@ -300,19 +250,21 @@
         asyncio.ensure_future(self.watcher.run())
         asyncio.ensure_future(self._renew_registration())
         while True:
-            await asyncio.sleep(TICK_S)
+            await asyncio.sleep(service.TICK_INTERVAL_S)
             now = self._fleet.loop.time()
             self._membership.drop_unregistered(now)
             self.exchange.tick(now)
 
     async def _renew_registration(self) -> None:
-        await asyncio.sleep(self._fleet.draw.random() * RENEWAL_INTERVAL_S)
+        await asyncio.sleep(
+            self._fleet.draw.random() * registration.LEASE_RENEWAL_INTERVAL_S
+        )
         while True:
-            is_refused = self.name in self._fleet.store.refused
+            is_refused = self.name in self._fleet.refused
             self.watcher.record_store_result(not is_refused)
             if not is_refused:
                 self._fleet.renew_registration(self.member)
-            await asyncio.sleep(RENEWAL_INTERVAL_S)
+            await asyncio.sleep(registration.LEASE_RENEWAL_INTERVAL_S)
 
     def _apply_item(self, item: interface.Item) -> None:
         now = self._fleet.loop.time()
@@ -342,8 +294,10 @@
         self.clock = Clock(self.loop)
         self.draw = random.Random(seed)
         self.accounts = [f"account{n}" for n in range(ACCOUNTS)]
-        self.store = Store(self.loop)
-        self._expiries_s: dict[str, float] = {}
+        self.store = platformstore.PlatformStoreStandIn(self.clock)
+        self.refused: set[str] = set()
+        self.whole_reads = 0
+        self._leases: dict[str, int] = {}
         centres = sorted(CENTRES)
         self.members: dict[str, model.Member] = {}
         self.hosts: dict[str, Host] = {}
@@ -356,9 +310,9 @@
             )
             self.members[member.name] = member
             self.hosts[member.name] = Host(self, member, mbps)
-        self.store.write(names.CONFIG_KEY, bytes(CONFIG_BYTES))
+        self.store.put(names.CONFIG_KEY, bytes(CONFIG_BYTES))
         for number in range(backends):
-            self.store.write(
+            self.store.put(
                 f"{names.BACKEND_PREFIX}{number}", bytes(ENTRY_BYTES)
             )
         for member in self.members.values():
@@ -372,21 +326,22 @@
         return LOCAL_LATENCY_S
 
     def renew_registration(self, member: model.Member) -> None:
-        now = self.loop.time()
-        if member.name not in self._expiries_s:
-            key = names.MEMBER_PREFIX + member.name
-            self.store.write(key, bytes(ENTRY_BYTES))
-        self._expiries_s[member.name] = now + LEASE_TTL_S
+        if self.store.renew_lease(self._leases.get(member.name, 0)):
+            return
+        lease = self.store.grant_lease(registration.LEASE_TTL_S)
+        self._leases[member.name] = lease
+        key = names.MEMBER_PREFIX + member.name
+        self.store.put(key, bytes(ENTRY_BYTES), lease)
 
     def write_configuration(self) -> int:
         """Write another configuration; return its revision."""
         value = self.store.revision.to_bytes(CONFIG_BYTES, "big")
-        return self.store.write(names.CONFIG_KEY, value)
+        return self.store.put(names.CONFIG_KEY, value)
 
     def start(self) -> None:
         for host in self.hosts.values():
             self.loop.create_task(host.run())
-        self.loop.create_task(self._expire_registrations())
+        self.loop.create_task(self.store.run_leases())
 
     def run(self, length_s: float) -> None:
         self.loop.run_until_complete(asyncio.sleep(length_s))
@@ -422,14 +377,10 @@
                 late[name] = applied_s - written_s
         return late
 
-    async def _expire_registrations(self) -> None:
-        while True:
-            await asyncio.sleep(TICK_S)
-            now = self.loop.time()
-            for name, expiry_s in list(self._expiries_s.items()):
-                if expiry_s <= now:
-                    del self._expiries_s[name]
-                    self.store.write(names.MEMBER_PREFIX + name, None)
+
+def _decode(row: dict[str, Any]) -> interface.Item:
+    value = None if row.get("deleted") else base64.b64decode(row["value"])
+    return interface.Item(row["key"], value, row["rev"])
 
 
 def _measure(item: interface.Item) -> int:
