--- a/src/cowslipshift/edge/replica.py
+++ b/src/cowslipshift/edge/replica.py
@@ -65,8 +65,9 @@
             for key, known in self._items.items()
             if key not in current and known.revision <= revision
         ]
-        changed = [item for item in (*deleted, *current.values())]
-        changed = [item for item in changed if self._apply(item)]
+        changed = [
+            item for item in (*deleted, *current.values()) if self._apply(item)
+        ]
         self.revision = revision
         self._change_log.clear()
         self._log_start_revision = revision
