Believe only answers that name the request

Cause: a refusal was believed before its id was compared, and bytes that arrived on an idle connection were taken for the next answer. A server that wrote a refusal once more made a host answer 'not run' for what ran, or try a second server; a late second copy failed or reached the next request.

Change: UpstreamClient asks for the id before it reads the body; another id, or none, closes the connection and counts as a failure of the server. Load reports and outcomes are read only behind that. GuardedConnection closes a kept connection on which bytes arrive while nothing waits; it also serves the store, other hosts, and the daemon's own mode, which checks X-Request-Id where it is present.

Ruled out: waiting on the same connection for the own answer behind a foreign one; the caller of a crossed answer would wait until its deadline.

--- /dev/null
+++ b/src/cowslipshift/connections.py
@@ -0,0 +1,65 @@
+"""Client connections that take no bytes for an answer that nobody awaits."""
+
+from __future__ import annotations
+
+import functools
+from typing import Any
+
+import aiohttp
+from aiohttp import client_proto
+
+FIRST_FINAL_STATUS = 200
+"""Answers below this status are interim; another one follows."""
+
+
+class GuardedConnection(client_proto.ResponseHandler):
+    """A connection that is closed when bytes arrive while no request waits.
+
+    aiohttp would take a second copy of an answer, sent late on a kept
+    connection, for the answer to the next request.
+    """
+
+    _has_final_head = False
+
+    def set_response_params(self, **params: Any) -> None:
+        """Prepare for the answer to another request."""
+        self._has_final_head = False
+        super().set_response_params(**params)
+
+    def feed_data(self, data: Any, size: int = 0) -> None:
+        """Note whether the head of a final answer has arrived."""
+        message, _ = data
+        if message.code >= FIRST_FINAL_STATUS:
+            self._has_final_head = True
+        super().feed_data(data, size)
+
+    def data_received(self, data: bytes) -> None:
+        """Close the connection if the answer is already complete."""
+        if data and self._is_answered:
+            self.force_close()
+            if self.transport is not None:
+                self.transport.abort()
+            return
+        super().data_received(data)
+
+    @property
+    def _is_answered(self) -> bool:
+        payload = self._payload
+        return self._has_final_head and (payload is None or payload.is_eof())
+
+
+class GuardedConnector(aiohttp.TCPConnector):
+    """Opens guarded connections.
+
+    Args:
+        connection: Class of the connections.
+        options: Options of aiohttp's connector.
+    """
+
+    def __init__(
+        self,
+        connection: type[GuardedConnection] = GuardedConnection,
+        **options: Any,
+    ) -> None:
+        super().__init__(limit=0, **options)
+        self._factory: Any = functools.partial(connection, loop=self._loop)
--- a/src/cowslipshift/edge/attempts.py
+++ b/src/cowslipshift/edge/attempts.py
@@ -14,6 +14,8 @@
 from cowslipshift.telemetry import logs
 
 if TYPE_CHECKING:
+    from collections.abc import Mapping
+
     from cowslipshift import clock as clocks
     from cowslipshift.edge import metrics as metric
 
@@ -184,6 +186,7 @@
                 headers,
                 self._body,
                 left_s,
+                self._is_own_answer,
             )
         except exceptions.NotSentError as error:
             self._connect_failures += 1
@@ -200,6 +203,9 @@
             state.in_flight -= 1
         return self._evaluate(choice, answer, deps.clock.now() - now)
 
+    def _is_own_answer(self, headers: Mapping[str, str]) -> bool:
+        return ingress.is_answer_to(self._request_headers.id, headers)
+
     def _evaluate(
         self, choice: calls.Choice, answer: upstream.Answer, took_s: float
     ) -> web.Response | None:
@@ -215,17 +221,9 @@
             self._record_shed(choice, answer.status)
             return None
         self._may_have_run = True
-        is_mismatched = answer_headers.request_id not in (
-            "",
-            self._request_headers.id,
-        )
-        is_unsigned = (
-            200 <= answer.status < 300 and not answer_headers.is_signed
-        )
-        if is_mismatched or is_unsigned:
-            error = exceptions.AnswerLostError(
-                "unsigned answer, or answer to another request", False
-            )
+        is_success = 200 <= answer.status < 300
+        if is_success and not answer_headers.is_signed:
+            error = exceptions.AnswerLostError("unsigned answer", False)
             self._record_failure(choice, error, is_down=False)
             if not call.route.is_idempotent:
                 raise self._build_unknown(is_timeout=False)
--- a/src/cowslipshift/edge/exceptions.py
+++ b/src/cowslipshift/edge/exceptions.py
@@ -26,6 +26,15 @@
         self.is_timeout = is_timeout
 
 
+class ForeignAnswerError(AnswerLostError):
+    """The answer that arrived belongs to another request."""
+
+    code = "foreign_answer"
+
+    def __init__(self) -> None:
+        super().__init__("answer to another request", False)
+
+
 class PeerError(exceptions.CowslipshiftError):
     """Another host did not answer, or its answer is not valid."""
 
--- a/src/cowslipshift/edge/service.py
+++ b/src/cowslipshift/edge/service.py
@@ -13,6 +13,7 @@
 
 from cowslipshift import addresses
 from cowslipshift import clock as clocks
+from cowslipshift import connections
 from cowslipshift import exceptions as base_exceptions
 from cowslipshift import supervision
 from cowslipshift.edge import attempts
@@ -191,7 +192,7 @@
             ),
         )
         self._session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=0, keepalive_timeout=30.0),
+            connector=connections.GuardedConnector(keepalive_timeout=30.0),
             cookie_jar=aiohttp.DummyCookieJar(),
         )
         self._store = stores.PlatformStore(
--- a/src/cowslipshift/edge/upstream.py
+++ b/src/cowslipshift/edge/upstream.py
@@ -3,18 +3,22 @@
 from __future__ import annotations
 
 import asyncio
-import functools
 from typing import Any
+from typing import TYPE_CHECKING
 
 import aiohttp
-from aiohttp import client_proto
 import msgspec
 import multidict
 import yarl
 
 from cowslipshift import bodies
+from cowslipshift import connections
 from cowslipshift.edge import exceptions
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Mapping
+
 CONNECT_TIMEOUT_S = 0.4
 """Several round trips between regions. A lost SYN packet is sent again only
 after seconds, so it is faster to try another server."""
@@ -44,7 +48,7 @@
     body: bytes
 
 
-class _Connection(client_proto.ResponseHandler):
+class _Connection(connections.GuardedConnection):
     """A connection that reports resets and limits what arrives.
 
     An answer without a length ends when its connection closes; aiohttp takes
@@ -88,17 +92,11 @@
         super().connection_lost(exc)
 
 
-class _Connector(aiohttp.TCPConnector):
-    """Opens connections that report resets."""
-
-    def __init__(self) -> None:
-        super().__init__(limit=0, keepalive_timeout=IDLE_TIMEOUT_S)
-        self._factory: Any = functools.partial(_Connection, loop=self._loop)
-
-
 def _open_session() -> aiohttp.ClientSession:
     session = aiohttp.ClientSession(
-        connector=_Connector(),
+        connector=connections.GuardedConnector(
+            _Connection, keepalive_timeout=IDLE_TIMEOUT_S
+        ),
         cookie_jar=aiohttp.DummyCookieJar(),
         auto_decompress=False,
         skip_auto_headers=SKIPPED_HEADERS,
@@ -127,6 +125,7 @@
         headers: list[tuple[str, str]],
         body: bytes | None,
         timeout_s: float,
+        is_own: Callable[[Mapping[str, str]], bool],
     ) -> Answer:
         """Send a request and read the complete answer.
 
@@ -137,9 +136,12 @@
             headers: All headers of the request.
             body: Its body, or ``None`` if it has none.
             timeout_s: Time limit for the complete answer.
+            is_own: Tells by its headers whether an answer is one to this
+                request; what another one says is not believed.
 
         Raises:
             NotSentError: No byte of the request was sent.
+            ForeignAnswerError: An answer to another request arrived.
             AnswerLostError: The request may have run.
         """
         url = yarl.URL(f"http://{address}{target}", encoded=True)
@@ -152,6 +154,9 @@
                     data=body,
                     allow_redirects=False,
                 ) as response:
+                    if not is_own(response.headers):
+                        response.close()
+                        raise exceptions.ForeignAnswerError()
                     content = await self._read_body(response)
                     return Answer(response.status, response.headers, content)
         except (
--- a/src/cowslipshift/platform/ingress.py
+++ b/src/cowslipshift/platform/ingress.py
@@ -61,13 +61,11 @@
     """What the headers of a backend server's answer specify.
 
     Attributes:
-        request_id: Id of the request that it answers, or empty.
         is_signed: Whether the server signed the answer.
         has_not_run: Whether the server states that the request did not run.
         load: Numbers of running and queued requests, if reported.
     """
 
-    request_id: str
     is_signed: bool
     has_not_run: bool
     load: tuple[int, int] | None
@@ -124,6 +122,16 @@
     return headers
 
 
+def is_answer_to(request_id: str, headers: Mapping[str, str]) -> bool:
+    """Tell whether a backend server's answer is one to a request.
+
+    Args:
+        request_id: The client's id of the request, or empty.
+        headers: Headers of the answer, which repeat the id.
+    """
+    return headers.get(names.REQUEST_ID_HEADER, "") == request_id
+
+
 def parse_answer_headers(
     status: int, headers: Mapping[str, str]
 ) -> AnswerHeaders:
@@ -132,7 +140,6 @@
     Status 421 also means that the request did not run.
     """
     return AnswerHeaders(
-        request_id=headers.get(names.REQUEST_ID_HEADER, ""),
         is_signed=names.SIGNATURE_HEADER in headers,
         has_not_run=names.NOT_EXECUTED_HEADER in headers or status == 421,
         load=_parse_load(headers.get(names.LOAD_HEADER, "")),
--- a/src/cowslipshift/serving/backend/attempt.py
+++ b/src/cowslipshift/serving/backend/attempt.py
@@ -25,6 +25,7 @@
 BUFFERED_BODY_MAX_BYTES = 65_536
 SHED_SLOT_HOLD_S = 0.1
 
+REQUEST_ID_HEADER = "X-Request-Id"
 DRAIN_HEADER = "X-Backend-Draining"
 SHED_HEADER = "X-Backend-Shed"
 
@@ -152,7 +153,7 @@
         async with asyncio.timeout(remaining_s) as timeout:
             detector.start(timeout)
             try:
-                return await session.request(
+                response = await session.request(
                     call.method,
                     url,
                     headers=_build_headers(call, remaining_s),
@@ -161,6 +162,8 @@
                 )
             finally:
                 detector.cancel()
+        _check_answers(call, response)
+        return response
 
     def _check_rejected(
         self, backend: backends.Backend, response: aiohttp.ClientResponse
@@ -272,12 +275,25 @@
         return is_known and now - self._started_s >= half_s
 
 
+def _check_answers(call: calls.Call, response: aiohttp.ClientResponse) -> None:
+    """Close the connection of an answer that names another request.
+
+    Raises:
+        ClientPayloadError: The answer belongs to another request.
+    """
+    answered = response.headers.get(REQUEST_ID_HEADER, call.id)
+    if answered == call.id:
+        return
+    response.close()
+    raise aiohttp.ClientPayloadError("answer to another request")
+
+
 def _build_headers(
     call: calls.Call, remaining_s: float
 ) -> list[tuple[str, str]]:
     headers = [
         *call.headers,
-        ("X-Request-Id", call.id),
+        (REQUEST_ID_HEADER, call.id),
         ("X-Client-Account", call.account),
         ("X-Request-Timeout-Ms", str(max(1, int(remaining_s * 1000)))),
     ]
--- a/src/cowslipshift/serving/backend/transport.py
+++ b/src/cowslipshift/serving/backend/transport.py
@@ -4,6 +4,8 @@
 
 import aiohttp
 
+from cowslipshift import connections
+
 CONNECT_TIMEOUT_S = 1.0
 KEEPALIVE_S = 30.0
 
@@ -35,12 +37,12 @@
 ) -> aiohttp.ClientSession:
     local = (source_address, 0) if source_address else None
     if force_close:
-        connector = aiohttp.TCPConnector(
-            limit=0, force_close=True, local_addr=local
+        connector = connections.GuardedConnector(
+            force_close=True, local_addr=local
         )
     else:
-        connector = aiohttp.TCPConnector(
-            limit=0, keepalive_timeout=KEEPALIVE_S, local_addr=local
+        connector = connections.GuardedConnector(
+            keepalive_timeout=KEEPALIVE_S, local_addr=local
         )
     return aiohttp.ClientSession(
         connector=connector,
--- a/src/cowslipshift/standins/platformbackend.py
+++ b/src/cowslipshift/standins/platformbackend.py
@@ -105,12 +105,18 @@
 
     async def handle(self, request: web.Request) -> web.StreamResponse:
         """Run a request, or answer that it was not executed."""
+        own_headers = {
+            names.REQUEST_ID_HEADER: request.headers.get(
+                names.REQUEST_ID_HEADER, ""
+            )
+        }
         if request.headers.get(names.INSTANCE_HEADER, "") != self.identity:
-            return web.Response(status=421)
+            return web.Response(status=421, headers=own_headers)
         limit = self.slots * (1 + QUEUE_PER_SLOT)
         if self.behaviour.shed or self._running + self._waiting >= limit:
             return web.Response(
-                status=503, headers={names.NOT_EXECUTED_HEADER: "1"}
+                status=503,
+                headers={names.NOT_EXECUTED_HEADER: "1", **own_headers},
             )
         body = await request.read()
         self._waiting += 1
--- a/tests/edge/test_upstream.py
+++ b/tests/edge/test_upstream.py
@@ -63,7 +63,13 @@
     started_s = loop.time()
     with pytest.raises(exceptions.AnswerLostError) as raised:
         await client.send(
-            f"127.0.0.1:{port}", "GET", "/", [("Host", "x")], None, DEADLINE_S
+            f"127.0.0.1:{port}",
+            "GET",
+            "/",
+            [("Host", "x")],
+            None,
+            DEADLINE_S,
+            lambda headers: True,
         )
     assert not raised.value.is_timeout
     assert loop.time() - started_s < DEADLINE_S / 2
@@ -99,7 +105,13 @@
 
     async def send() -> upstream.Answer:
         return await client.send(
-            f"127.0.0.1:{port}", "GET", "/", [("Host", "x")], None, DEADLINE_S
+            f"127.0.0.1:{port}",
+            "GET",
+            "/",
+            [("Host", "x")],
+            None,
+            DEADLINE_S,
+            lambda headers: True,
         )
 
     first = asyncio.create_task(send())
