--- a/src/cowslipshift/platformdemo.py
+++ b/src/cowslipshift/platformdemo.py
@@ -41,11 +41,11 @@
             f"{stable} objects stayed on one server per client region"
         )
         fleet.store.put(names.EVACUATION_PREFIX + "north-a", b"{}")
-        for host in fleet.hosts:
-            balancer = host.balancer
-            await platformfleet.wait_until(
-                lambda balancer=balancer: balancer.evacuated
+        await platformfleet.wait_until(
+            lambda: all(
+                host.balancer.inventory.evacuated for host in fleet.hosts
             )
+        )
         before = _count_north_requests(fleet)
         for number in range(OBJECT_COUNT):
             await fleet.send_request(
--- a/src/cowslipshift/standins/platformfleet.py
+++ b/src/cowslipshift/standins/platformfleet.py
@@ -6,6 +6,7 @@
 import contextlib
 import socket
 from typing import Any
+from typing import TYPE_CHECKING
 
 import aiohttp
 from aiohttp import web
@@ -19,6 +20,9 @@
 from cowslipshift.standins import platformbackend
 from cowslipshift.standins import platformstore
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 HOSTNAME = "tills.example"
 API_KEY = "key-of-workshop"
 ACCOUNT = "workshop"
@@ -229,10 +233,11 @@
 
     async def wait_ready(self) -> None:
         """Wait until all hosts are ready and know each other."""
-        for host in self.hosts:
-            await wait_until(
-                lambda host=host: host.is_settled(len(self.hosts))
+        await wait_until(
+            lambda: all(
+                host.is_settled(len(self.hosts)) for host in self.hosts
             )
+        )
 
     async def send_request(
         self,
@@ -330,7 +335,7 @@
             return ports
 
 
-async def wait_until(condition: Any) -> None:
+async def wait_until(condition: Callable[[], bool]) -> None:
     """Wait until a condition holds.
 
     Raises:
