--- a/src/cowslipshift/edge/heartbeats.py
+++ b/src/cowslipshift/edge/heartbeats.py
@@ -29,12 +29,23 @@
         self.incarnation = heartbeat.incarnation
         self.sequence = heartbeat.sequence
 
-    def is_before(self, heartbeat: messages.Heartbeat) -> bool:
-        """Tell whether another heartbeat is newer than this one."""
-        return (self.incarnation, self.sequence) < (
-            heartbeat.incarnation,
-            heartbeat.sequence,
-        )
+    def is_before(
+        self, heartbeat: messages.Heartbeat, registered: int | None
+    ) -> bool:
+        """Tell whether another heartbeat is newer than this one.
+
+        The time of day may have jumped back before the host started again,
+        so a registered incarnation is newer also if its number is smaller.
+
+        Args:
+            heartbeat: The other heartbeat, of the same host.
+            registered: Incarnation with which the host is registered.
+        """
+        if heartbeat.incarnation == self.incarnation:
+            return self.sequence < heartbeat.sequence
+        if registered in (self.incarnation, heartbeat.incarnation):
+            return heartbeat.incarnation == registered
+        return self.incarnation < heartbeat.incarnation
 
 
 class HeartbeatExchange:
@@ -177,7 +188,9 @@
     def _apply(self, heartbeat: messages.Heartbeat, now: float) -> None:
         """Apply a heartbeat unless a newer one of its host was applied."""
         last = self._last_heartbeats.get(heartbeat.host)
-        if last is not None and not last.is_before(heartbeat):
+        member = self._membership.find_member(heartbeat.host)
+        registered = None if member is None else member.incarnation
+        if last is not None and not last.is_before(heartbeat, registered):
             return
         self._last_heartbeats[heartbeat.host] = _LastHeartbeat(heartbeat)
         self._membership.record_heartbeat(
@@ -195,6 +208,8 @@
                     report.order,
                     report.counts,
                     report.rejects_new_version,
+                    report.elapsed_s,
+                    now,
                 )
         self._watcher.record_heartbeat(heartbeat)
 
@@ -207,6 +222,7 @@
                 rollout.order.order,
                 rollout.counts,
                 rollout.rejects_new_version,
+                rollout.measure_elapsed(now),
             )
             for rollout in self._balancer.rollouts.values()
             if rollout.order is not None
--- a/src/cowslipshift/edge/messages.capnp
+++ b/src/cowslipshift/edge/messages.capnp
@@ -16,6 +16,7 @@
   oldAnswers @4 :UInt32;
   oldBad @5 :UInt32;
   condemns @6 :Bool;
+  elapsedMs @7 :UInt32;
 }
 
 struct Word {
--- a/src/cowslipshift/edge/messages.py
+++ b/src/cowslipshift/edge/messages.py
@@ -28,12 +28,14 @@
         order: Store revision of the order that the roll-out follows.
         rejects_new_version: Whether the host has stopped using the new
             version.
+        elapsed_s: Time since the order that the host knows of.
     """
 
     service: str
     order: int
     counts: rollouts.Counts
     rejects_new_version: bool
+    elapsed_s: float = 0.0
 
 
 class Heartbeat(msgspec.Struct, frozen=True):
@@ -120,6 +122,7 @@
                 "oldAnswers": r.counts.old,
                 "oldBad": r.counts.old_bad,
                 "condemns": r.rejects_new_version,
+                "elapsedMs": round(r.elapsed_s * MS_PER_S),
             }
             for r in heartbeat.reports
         ],
@@ -156,6 +159,7 @@
                         r.newAnswers, r.newBad, r.oldAnswers, r.oldBad
                     ),
                     r.condemns,
+                    r.elapsedMs / MS_PER_S,
                 )
                 for r in reader.rollouts
             ],
--- a/src/cowslipshift/edge/service.py
+++ b/src/cowslipshift/edge/service.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import secrets
 import time
 from typing import Any
 from typing import TYPE_CHECKING
@@ -69,6 +70,7 @@
 request arrives on it."""
 
 BACKLOG = 512
+INCARNATIONS_PER_MS = 1000
 
 
 class EdgeService(aiomisc.Service):
@@ -168,7 +170,7 @@
             public_address=settings.listen.front,
             internal_address=f"{settings.ip}:{port + 1}",
             heartbeat_address=f"{settings.ip}:{port}",
-            incarnation=int(self._clock.wall() * 1000),
+            incarnation=_draw_incarnation(self._clock.wall()),
             link_mbps=settings.limits.link_mbps,
         )
         self._metrics = metric.EdgeMetrics(settings.node_name)
@@ -403,6 +405,18 @@
             await self._rollout_controller.evaluate(self._clock.now())
 
 
+def _draw_incarnation(wall_s: float) -> int:
+    """Return a number that differs from those of earlier starts.
+
+    It mostly increases, but the time of day may jump back; a random part
+    keeps two starts at the same time of day apart.
+    """
+    wall_ms = int(wall_s * 1000)
+    return wall_ms * INCARNATIONS_PER_MS + secrets.randbelow(
+        INCARNATIONS_PER_MS
+    )
+
+
 def _measure_suspended() -> float:
     """Return the seconds that the machine was suspended since it booted."""
     return time.clock_gettime(time.CLOCK_BOOTTIME) - time.monotonic()
--- a/src/cowslipshift/steering/model.py
+++ b/src/cowslipshift/steering/model.py
@@ -156,7 +156,8 @@
         internal_address: Address for requests of other hosts, ``ip:port``.
         heartbeat_address: Address at which it receives heartbeats of other
             hosts, ``ip:port``.
-        incarnation: Unix milliseconds of its start.
+        incarnation: Number of this start of the host; a later start mostly has
+            a larger one, unless the time of day jumped back.
         link_mbps: Bandwidth of its link, in Mbit/s; 0 if unknown.
     """
 
--- a/src/cowslipshift/steering/rollouts.py
+++ b/src/cowslipshift/steering/rollouts.py
@@ -21,6 +21,8 @@
 
     from cowslipshift.steering import model
 
+MS_PER_S = 1000
+
 WATCHING = "watching"
 COMPLETED = "completed"
 ROLLED_BACK = "rolled_back"
@@ -61,6 +63,11 @@
 """How long a host waits for each host before it in rank."""
 
 
+CHECKPOINT_INTERVAL_S = 2.0
+"""How often the first stage is written again with the time since the order, so
+that hosts that all start anew know most of it. Times of day may jump and
+differ between hosts, so none is compared."""
+
 STORE_DELAY_S = 0.6
 """Time for a stage that was written to come back from the store."""
 
@@ -73,7 +80,9 @@
         version: The new version.
         step: Index into `RAMP_STEPS`.
         state: Watching, completed or rolled back.
-        started_ms: Unix time at which the order was first seen.
+        started_ms: Unix time at which the order was first seen; for operators
+            only.
+        elapsed_ms: Time since the order when the stage was written.
         rejected_versions: Versions that are not to be used.
         reason: Why this stage was written.
     """
@@ -87,6 +96,7 @@
         name="condemned", default=()
     )
     reason: str = ""
+    elapsed_ms: int = 0
 
 
 class Counts(msgspec.Struct, frozen=True):
@@ -152,7 +162,7 @@
         "_due_since_s",
         "_credit",
         "_peers",
-        "_order_seen_s",
+        "_started_s",
         "rejects_new_version",
         "counts",
         "order",
@@ -170,7 +180,7 @@
         self.rejects_new_version = False
         self._peers: dict[str, Counts] = {}
         self._credit = 0.0
-        self._order_seen_s = 0.0
+        self._started_s = 0.0
         self._due_since_s = 0.0
 
     def set_order(self, order: model.RolloutOrder | None, now: float) -> None:
@@ -182,8 +192,9 @@
             self.rejects_new_version = False
             self._peers.clear()
             self._credit = 0.0
-            self._order_seen_s = self._due_since_s = now
+            self._started_s = self._due_since_s = now
         self.order = order
+        self._apply_elapsed_time(now)
 
     def set_stage(
         self, stage: Stage | None, revision: int, now: float
@@ -192,6 +203,20 @@
         self.stage = stage
         self.stage_revision = revision
         self._due_since_s = now
+        self._apply_elapsed_time(now)
+
+    def measure_elapsed(self, now: float) -> float:
+        """Return the seconds since the order, as far as is known."""
+        return now - self._started_s
+
+    def _apply_elapsed_time(self, now: float) -> None:
+        """Learn from the stage that more time has passed since the order."""
+        stage = self.get_current_stage()
+        if self.order is not None and stage is not None:
+            self._record_elapsed(stage.elapsed_ms / MS_PER_S, now)
+
+    def _record_elapsed(self, elapsed_s: float, now: float) -> None:
+        self._started_s = min(self._started_s, now - elapsed_s)
 
     def get_current_stage(self) -> Stage | None:
         """Return the stage of the order in force."""
@@ -261,11 +286,23 @@
         order: int,
         counts: Counts,
         rejects_new_version: bool,
+        elapsed_s: float,
+        now: float,
     ) -> None:
-        """Record another process's counts of an order."""
+        """Record another process's counts of an order.
+
+        Args:
+            process: The process.
+            order: Store revision of the order.
+            counts: What it has counted.
+            rejects_new_version: Whether it has stopped using the new version.
+            elapsed_s: Time since the order that it knows of.
+            now: Time at which it sent this.
+        """
         if self.order is None or self.order.order != order:
             return
         self._peers[process] = counts
+        self._record_elapsed(elapsed_s, now)
         self.rejects_new_version = (
             self.rejects_new_version or rejects_new_version
         )
@@ -284,7 +321,7 @@
 
         Args:
             now: Present time.
-            wall_s: Present Unix time.
+            wall_s: Present Unix time, kept for operators only.
             name: This host.
             hosts: All live hosts.
         """
@@ -313,10 +350,9 @@
     ) -> Stage | None:
         assert self.order is not None
         if stage is None:
-            return self._build_stage(0, WATCHING, wall_s, "ordered")
-        elapsed = max(
-            now - self._order_seen_s, wall_s - stage.started_ms / 1000.0
-        ) / max(self.order.ramp_s, 1.0)
+            return self._build_stage(0, WATCHING, now, wall_s, "ordered")
+        elapsed_s = self.measure_elapsed(now)
+        elapsed = elapsed_s / max(self.order.ramp_s, 1.0)
         total = self.sum_counts()
         if self.rejects_new_version or total.shows_regression(
             MIN_BAD_ANSWERS, BAD_SHARE
@@ -324,15 +360,16 @@
             return self._build_stage(
                 stage.step,
                 ROLLED_BACK,
+                now,
                 wall_s,
                 f"{total.new_bad} of {total.new} answers bad",
             )
         last = len(RAMP_STEPS) - 1
         if stage.step == last and elapsed >= COMPLETE_AT:
-            return self._build_stage(last, COMPLETED, wall_s, "in time")
+            return self._build_stage(last, COMPLETED, now, wall_s, "in time")
         if elapsed >= ROLL_BACK_AT:
             return self._build_stage(
-                stage.step, ROLLED_BACK, wall_s, "too late"
+                stage.step, ROLLED_BACK, now, wall_s, "too late"
             )
         if stage.step < last and elapsed >= RAMP_STEPS[stage.step + 1][0]:
             if total.new < MIN_ANSWERS:
@@ -340,13 +377,17 @@
             return self._build_stage(
                 stage.step + 1,
                 WATCHING,
+                now,
                 wall_s,
                 f"{total.new_bad} of {total.new} answers bad",
             )
+        written_s = stage.elapsed_ms / MS_PER_S
+        if stage.step == 0 and elapsed_s - written_s >= CHECKPOINT_INTERVAL_S:
+            return self._build_stage(0, WATCHING, now, wall_s, "in progress")
         return None
 
     def _build_stage(
-        self, step: int, state: str, wall_s: float, reason: str
+        self, step: int, state: str, now: float, wall_s: float, reason: str
     ) -> Stage:
         assert self.order is not None
         known = self.stage
@@ -372,4 +413,5 @@
             started_ms=started_ms,
             rejected_versions=rejected_versions,
             reason=reason,
+            elapsed_ms=int(self.measure_elapsed(now) * MS_PER_S),
         )
--- a/src/cowslipshift/telemetry/logs.py
+++ b/src/cowslipshift/telemetry/logs.py
@@ -171,7 +171,8 @@
         if self._counts_by_level[record.level] > limit:
             return
         self._lines.append(
-            f"time={timestamp} level={record.level_name} host={self._host} "
+            f"time={timestamp} steady_s={time.monotonic():.3f} "
+            f"level={record.level_name} host={self._host} "
             f"component={record.channel} {record.msg}\n"
         )
         is_urgent = record.level >= logbook.WARNING
--- a/tests/edge/test_heartbeats.py
+++ b/tests/edge/test_heartbeats.py
@@ -15,6 +15,7 @@
 from cowslipshift.edge import replica as replicas
 from cowslipshift.edge import watcher as watchers
 from cowslipshift.steering import changes
+from cowslipshift.steering import model
 from cowslipshift.steering import overlay as overlays
 
 CENTRES = {"north-a": "north", "south-a": "south", "west-a": "west"}
@@ -58,10 +59,14 @@
         self.draw = random.Random(1)
         names = sorted(CENTRES)
         self.centres = {f"h{n}": names[n % 3] for n in range(hosts)}
-        self.hosts = {name: self._build(name) for name in self.centres}
+        self.hosts = {name: self.build_host(name) for name in self.centres}
 
-    def _build(self, name: str) -> heartbeats.HeartbeatExchange:
-        balancer = builders.build_balancer(name, CENTRES[self.centres[name]])
+    def build_host(
+        self, name: str, own: model.Member | None = None
+    ) -> heartbeats.HeartbeatExchange:
+        balancer = builders.build_balancer(
+            name, CENTRES[self.centres[name]], own=own
+        )
         for peer, centre in self.centres.items():
             member = builders.build_member(peer, CENTRES[centre], centre)
             balancer.apply(changes.MemberChange(peer, member), 0.0)
@@ -241,3 +246,27 @@
         await asyncio.sleep(2 * watchers.SOURCE_POLL_INTERVAL_S)
     assert asked == ["h3", "h1"]
     assert watcher.replica.revision == 9
+
+
+# Guards against a host that nobody hears because its time of day jumped back
+# before it started again, so that its incarnation has a smaller number.
+@pytest.mark.parametrize("hosts", [6, 45])
+def test_host_that_starts_again_with_an_earlier_clock_is_heard(
+    hosts: int,
+) -> None:
+    fleet = Fleet(hosts)
+    for incarnation in (9_000, 5_000):
+        own = msgspec.structs.replace(
+            builders.build_member(
+                "h1", CENTRES[fleet.centres["h1"]], fleet.centres["h1"]
+            ),
+            incarnation=incarnation,
+        )
+        fleet.hosts["h1"] = fleet.build_host("h1", own)
+        for name, host in fleet.hosts.items():
+            if name != "h1":
+                host._balancer.apply(
+                    changes.MemberChange("h1", own), fleet.clock.seconds
+                )
+        fleet.run(8.0)
+        assert fleet.count_unheard() == 0
--- a/tests/steering/test_rollouts.py
+++ b/tests/steering/test_rollouts.py
@@ -33,6 +33,8 @@
         self.bad_at: list[float] = []
         self.exposed_at: list[float] = []
         self.done_at = 0.0
+        self.clock_jump_s: Callable[[float], float] = lambda now: 0.0
+        self.restart_at = -1.0
         order = model.RolloutOrder("sheets", "v2", RAMP_S, 7)
         for rollout in self.rollouts.values():
             rollout.set_order(order, 0.0)
@@ -49,13 +51,22 @@
         """
         for step in range(int(length_s * 100)):
             now = step / 100
+            if now == self.restart_at:
+                self._restart_all(now)
             if self.rng.random() < self.requests_per_s / 100:
                 self._request(now, is_bad)
             if step % 40 == 0:
-                self._exchange_counts()
+                self._exchange_counts(now)
             if step % 10 == 0:
                 self._propose(now)
 
+    def _restart_all(self, now: float) -> None:
+        order = self.rollouts["h0"].order
+        for name in HOSTS:
+            rollout = self.rollouts[name] = rollouts.Rollout("sheets")
+            rollout.set_stage(self.stage, self.revision, now)
+            rollout.set_order(order, now)
+
     def _request(
         self, now: float, is_bad: Callable[[float, float], float]
     ) -> None:
@@ -73,7 +84,7 @@
             self.bad_at.append(now)
         rollout.record_answer("v2", bad)
 
-    def _exchange_counts(self) -> None:
+    def _exchange_counts(self, now: float) -> None:
         for name in self.live:
             if name in self.frozen:
                 continue
@@ -81,7 +92,12 @@
             for other in self.live:
                 if other != name and other not in self.frozen:
                     self.rollouts[other].record_peer(
-                        name, 7, reported.counts, reported.rejects_new_version
+                        name,
+                        7,
+                        reported.counts,
+                        reported.rejects_new_version,
+                        reported.measure_elapsed(now),
+                        now,
                     )
 
     def _propose(self, now: float) -> None:
@@ -89,7 +105,8 @@
             if name in self.frozen:
                 continue
             rollout = self.rollouts[name]
-            stage = rollout.propose_stage(now, 1000.0 + now, name, self.live)
+            wall_s = 1000.0 + now + self.clock_jump_s(now)
+            stage = rollout.propose_stage(now, wall_s, name, self.live)
             if stage is None or rollout.stage_revision != self.revision:
                 continue
             self.revision += 1
@@ -112,6 +129,32 @@
     )
 
 
+# Guards against roll-outs that a jump of the time of day ends early or late.
+@pytest.mark.parametrize("jump_s", [-30.0, -5.0, 5.0, 30.0])
+@pytest.mark.parametrize("seed", range(3))
+def test_jump_of_the_time_of_day_moves_no_stage(seed, jump_s) -> None:
+    calm, jumping = Simulation(seed), Simulation(seed)
+    jumping.clock_jump_s = lambda now: jump_s * (4.0 < now < 9.0)
+    for simulation in (calm, jumping):
+        simulation.run(lambda now, share: 0.004)
+        assert simulation.stage is not None
+        assert simulation.stage.state == rollouts.COMPLETED
+    assert jumping.done_at == calm.done_at
+
+
+@pytest.mark.parametrize("restart_at", [1.0, 3.0, 5.0, 7.0, 9.0])
+def test_rollout_is_done_in_time_although_all_hosts_start_anew(
+    restart_at,
+) -> None:
+    simulation = Simulation(1)
+    simulation.restart_at = restart_at
+    simulation.clock_jump_s = lambda now: -20.0 * (now > restart_at)
+    simulation.run(lambda now, share: 0.004)
+    assert simulation.stage is not None
+    assert simulation.stage.state == rollouts.COMPLETED
+    assert simulation.done_at < RAMP_S
+
+
 BAD = {
     "errors": lambda now, share: 0.5,
     "slow": lambda now, share: 0.5,
