Refuse malformed input with a code, and outlive unexpected errors

Cause: a deadline of nan ended as 500 with a traceback; the parser's text, which repeats bytes and keys, went into answers and the log; Connection could name the request id away; encoded bodies were decoded on the way; a background task that failed once ended the process; a watch that was refused or malformed stayed at its endpoint.

The log lines of libraries go the same way. Headers of the platform concern no connection; impossible load reports are ignored. The supervisor runs a failed task again and ends the process when it fails 5 times in 10 s.

The test of clamped deadlines is replaced by one that wants each malformed text told apart, as the issue asks, and one on what is clamped. Found by the fuzz before its mend: a watch line with events of null raised TypeError.

--- a/src/cowslipshift/daemon/service.py
+++ b/src/cowslipshift/daemon/service.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import functools
 import os
 from typing import Any
 from typing import TYPE_CHECKING
@@ -22,6 +23,7 @@
 from cowslipshift.telemetry import logs
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Coroutine
 
 SUPERSEDED_EXIT_STATUS = 3
@@ -106,19 +108,20 @@
 
     def _start_tasks(self) -> None:
         assembly = self._assembly
-        coroutines: list[Coroutine[Any, Any, None]] = [
-            assembly.membership.run(),
-            assembly.membership.run_fence_checks(),
-            assembly.watcher.run_reads(),
-            assembly.watcher.run_watch(keys.CONFIGURATION),
-            assembly.watcher.run_watch(keys.PLATFORM_HOSTS),
-            assembly.host.components.quotas.run(),
-            assembly.recorder.run_evaluation(),
-            assembly.recorder.run_recording(),
-            self._run_table_transfers(),
+        watch = assembly.watcher.run_watch
+        runs: list[Callable[[], Coroutine[Any, Any, None]]] = [
+            assembly.membership.run,
+            assembly.membership.run_fence_checks,
+            assembly.watcher.run_reads,
+            functools.partial(watch, keys.CONFIGURATION),
+            functools.partial(watch, keys.PLATFORM_HOSTS),
+            assembly.host.components.quotas.run,
+            assembly.recorder.run_evaluation,
+            assembly.recorder.run_recording,
+            self._run_table_transfers,
         ]
-        for coroutine in coroutines:
-            self._supervisor.start(coroutine)
+        for run in runs:
+            self._supervisor.start(run)
 
     async def _run_table_transfers(self) -> None:
         while True:
--- a/src/cowslipshift/edge/callers.py
+++ b/src/cowslipshift/edge/callers.py
@@ -161,6 +161,7 @@
             status=status,
             body=msgspec.json.encode({"error": code}),
             content_type="application/json",
+            headers={"Connection": "close"},
         )
         response.force_close()
         return response
@@ -228,7 +229,11 @@
         **options: Any,
     ) -> None:
         super().__init__(
-            _answer_next, handler_cancellation=True, access_log=None, **options
+            _answer_next,
+            handler_cancellation=True,
+            access_log=None,
+            auto_decompress=False,
+            **options,
         )
         self.handle = handle
         self.clock = clock
--- a/src/cowslipshift/edge/gossip.py
+++ b/src/cowslipshift/edge/gossip.py
@@ -58,7 +58,12 @@
         except exceptions.PeerError as error:
             self._log.warn("bundle_malformed", peer=addr[0], reason=error)
             return
-        self._on_bundle(bundle)
+        try:
+            self._on_bundle(bundle)
+        except Exception as error:
+            self._log.error(
+                "bundle_failed", peer=addr[0], **logs.describe_error(error)
+            )
 
     def error_received(self, exc: Exception) -> None:
         """Log that a datagram could not be delivered."""
--- a/src/cowslipshift/edge/handler.py
+++ b/src/cowslipshift/edge/handler.py
@@ -61,6 +61,15 @@
             return await self._serve(received, request_headers)
         except attempts.Refused as refusal:
             return self._refuse(refusal, request_headers, arrived_s)
+        except Exception as error:
+            self._log.error(
+                "request_failed",
+                id=request_headers.id,
+                **logs.describe_error(error),
+            )
+            return self._refuse(
+                attempts.Refused(500, "internal"), request_headers, arrived_s
+            )
         except asyncio.CancelledError:
             took_s = self._clock.now() - arrived_s
             self._log.notice(
@@ -81,6 +90,9 @@
             raise attempts.Refused(
                 503, "no_configuration", NOT_READY_RETRY_AFTER_S
             )
+        deadline_s = request_headers.deadline_s
+        if deadline_s is None:
+            raise attempts.Refused(400, "deadline_malformed")
         path = request.raw_path.partition("?")[0]
         route = self._balancer.find_route(
             request.headers.get("Host", ""), path
@@ -100,9 +112,7 @@
             await received.wait_turn()
         if account is not None and not route.is_public:
             self._admit(account, self._clock.now())
-        left_s = (
-            min(request_headers.deadline_s, route.timeout_s) - ANSWER_MARGIN_S
-        )
+        left_s = min(deadline_s, route.timeout_s) - ANSWER_MARGIN_S
         call = self._balancer.open_call(
             request_headers.id,
             route,
--- a/src/cowslipshift/edge/service.py
+++ b/src/cowslipshift/edge/service.py
@@ -93,10 +93,10 @@
         await self._open_gossip_socket()
         await self._listen_internal()
         await self._listen_callers()
-        self._supervisor.start(self._watcher.run())
-        self._supervisor.start(self._registration.run())
-        self._supervisor.start(self._run_ticks())
-        self._supervisor.start(self._run_rollout_evaluation())
+        self._supervisor.start(self._watcher.run)
+        self._supervisor.start(self._registration.run)
+        self._supervisor.start(self._run_ticks)
+        self._supervisor.start(self._run_rollout_evaluation)
         self._log.info(
             "started",
             front=self.settings.listen.front,
--- a/src/cowslipshift/platform/ingress.py
+++ b/src/cowslipshift/platform/ingress.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -9,7 +10,7 @@
 from cowslipshift.platform import names
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Collection
     from collections.abc import Mapping
 
 _HOP_BY_HOP_HEADERS = frozenset(
@@ -41,18 +42,36 @@
 )
 
 
+_PLATFORM_HEADERS = frozenset(
+    name.lower()
+    for name in (
+        names.REQUEST_ID_HEADER,
+        names.SIGNATURE_HEADER,
+        names.DEADLINE_MS_HEADER,
+        "Cookie",
+        "Host",
+    )
+)
+"""Headers that `Connection` cannot declare to concern one connection only."""
+
+MAX_DEADLINE_S = 3600.0
+MAX_REPORTED_LOAD = 100_000
+"""Larger numbers in a load report are a fault of the server."""
+
+
 class RequestHeaders(msgspec.Struct, frozen=True):
     """What a client's request headers specify.
 
     Attributes:
         id: The client's id of the request, or empty.
-        deadline_s: Seconds until the deadline, from 0 to 3600.
+        deadline_s: Seconds until the deadline, from 0 to `MAX_DEADLINE_S`;
+            ``None`` if it is malformed.
         affinity_key: The object that the request concerns, or empty.
         api_key: The client's key, or empty; never logged.
     """
 
     id: str
-    deadline_s: float
+    deadline_s: float | None
     affinity_key: str
     api_key: str
 
@@ -74,22 +93,21 @@
 def parse_request_headers(headers: Mapping[str, str]) -> RequestHeaders:
     """Parse the headers of a client's request.
 
-    A malformed deadline counts as `DEFAULT_DEADLINE_S`.
+    A deadline that is missing counts as `DEFAULT_DEADLINE_S`.
     """
-    try:
-        deadline_s = float(headers.get(names.DEADLINE_MS_HEADER, "")) / 1000.0
-    except ValueError:
-        deadline_s = DEFAULT_DEADLINE_S
+    text = headers.get(names.DEADLINE_MS_HEADER)
     return RequestHeaders(
         id=headers.get(names.REQUEST_ID_HEADER, ""),
-        deadline_s=min(max(deadline_s, 0.0), 3600.0),
+        deadline_s=DEFAULT_DEADLINE_S
+        if text is None
+        else _parse_deadline(text),
         affinity_key=_parse_affinity_cookie(headers.get("Cookie", "")),
         api_key=headers.get(names.API_KEY_HEADER, ""),
     )
 
 
 def build_backend_headers(
-    received: Iterable[tuple[str, str]],
+    received: Collection[tuple[str, str]],
     left_s: float,
     instance: str,
     account: str | None,
@@ -105,16 +123,12 @@
         instance: Id of the backend server.
         account: Name of the client account, if there is one.
     """
-    dropped = dict.fromkeys(_HOP_BY_HOP_HEADERS | _SYSTEM_HEADERS)
-    headers = []
-    for name, value in received:
-        if name.lower() == "connection":
-            dropped |= dict.fromkeys(
-                v.strip().lower() for v in value.split(",")
-            )
-    for name, value in received:
-        if name.lower() not in dropped:
-            headers.append((name, value))
+    dropped = _list_connection_headers(received) | _SYSTEM_HEADERS
+    headers = [
+        (name, value)
+        for name, value in received
+        if name.lower() not in dropped
+    ]
     headers.append((names.DEADLINE_MS_HEADER, str(max(1, int(left_s * 1000)))))
     headers.append((names.INSTANCE_HEADER, instance))
     if account is not None:
@@ -147,16 +161,30 @@
 
 
 def filter_answer_headers(
-    received: Iterable[tuple[str, str]],
+    received: Collection[tuple[str, str]],
 ) -> list[tuple[str, str]]:
     """Return a backend server's headers without those of its connection."""
+    dropped = _list_connection_headers(received)
     return [
         (name, value)
         for name, value in received
-        if name.lower() not in _HOP_BY_HOP_HEADERS
+        if name.lower() not in dropped
     ]
 
 
+def _list_connection_headers(
+    received: Collection[tuple[str, str]],
+) -> set[str]:
+    """Return the names of headers that concern one connection only."""
+    named = {
+        part.strip().lower()
+        for name, value in received
+        if name.lower() == "connection"
+        for part in value.split(",")
+    }
+    return (named - _PLATFORM_HEADERS) | _HOP_BY_HOP_HEADERS
+
+
 def build_refusal_headers(
     request_id: str, retry_after_s: float | None
 ) -> dict[str, str]:
@@ -174,6 +202,16 @@
     return msgspec.json.encode({"addresses": addresses, "ttl_s": ttl_s})
 
 
+def _parse_deadline(text: str) -> float | None:
+    try:
+        deadline_s = float(text) / 1000.0
+    except ValueError:
+        return None
+    if not math.isfinite(deadline_s) or deadline_s < 0.0:
+        return None
+    return min(deadline_s, MAX_DEADLINE_S)
+
+
 def _parse_affinity_cookie(text: str) -> str:
     for pair in text.split(";"):
         name, _, value = pair.strip().partition("=")
@@ -185,6 +223,9 @@
 def _parse_load(text: str) -> tuple[int, int] | None:
     parts = text.split(",")
     try:
-        return int(parts[0]), int(parts[1])
+        running, queued = int(parts[0]), int(parts[1])
     except (IndexError, ValueError):
         return None
+    if min(running, queued) < 0 or max(running, queued) > MAX_REPORTED_LOAD:
+        return None
+    return running, queued
--- a/src/cowslipshift/standins/platformfleet.py
+++ b/src/cowslipshift/standins/platformfleet.py
@@ -299,6 +299,7 @@
     async def _serve(self, application: web.Application) -> str:
         runner = web.AppRunner(
             application,
+            auto_decompress=False,
             access_log=None,
             handler_cancellation=True,
             shutdown_timeout=CLOSE_TIMEOUT_S,
--- a/src/cowslipshift/store/client.py
+++ b/src/cowslipshift/store/client.py
@@ -165,7 +165,11 @@
         """
         body = await self._call("lease/keepalive", {"ID": str(lease)})
         result = body.get("result", body)
-        return int(result.get("TTL", 0))
+        if not isinstance(result, dict):
+            raise exceptions.StoreAnswerError(
+                "answer to the renewal of a lease has no result"
+            )
+        return _parse_int(result, "TTL") if "TTL" in result else 0
 
     async def revoke_lease(self, lease: int) -> None:
         """Revoke a lease, which deletes its keys.
@@ -211,6 +215,9 @@
                 async for line in response.content:
                     for event in _parse_watch_line(line):
                         yield event
+        except exceptions.StoreError:
+            self._try_next_endpoint()
+            raise
         except (aiohttp.ClientError, TimeoutError, ValueError) as error:
             self._try_next_endpoint()
             raise exceptions.StoreUnavailableError(
@@ -329,8 +336,15 @@
         raise exceptions.StoreAnswerError("answer to a watch has no result")
     if result.get("canceled"):
         raise exceptions.StoreUnavailableError("store cancelled the watch")
+    listed = result.get("events", [])
+    if not isinstance(listed, list):
+        raise exceptions.StoreAnswerError("answer to a watch has no events")
     events = []
-    for event in result.get("events", []):
+    for event in listed:
+        if not isinstance(event, dict):
+            raise exceptions.StoreAnswerError(
+                "answer to a watch has a malformed event"
+            )
         pair = _parse_pairs([event.get("kv", {})])[0]
         events.append(WatchEvent(pair, event.get("type") == "DELETE"))
     return events or [WatchEvent(None)]
--- a/src/cowslipshift/supervision.py
+++ b/src/cowslipshift/supervision.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 import contextlib
 import os
 import signal
@@ -12,11 +13,20 @@
 from cowslipshift.telemetry import logs
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Coroutine
 
+RESTART_DELAY_S = 0.2
+MAX_FAILURES = 5
+FAILURE_WINDOW_S = 10.0
+"""A process ends when a task has failed `MAX_FAILURES` times in this time."""
+
 
 class Supervisor:
-    """Runs background tasks and ends the process when one of them fails.
+    """Runs background tasks, and runs one that failed again.
+
+    A host must not go on without a task for long, so the process ends when
+    a task fails again and again.
 
     Args:
         log: Log for the failure of a task.
@@ -26,11 +36,13 @@
         self._log = log
         self._tasks: list[asyncio.Task[None]] = []
 
-    def start(self, coroutine: Coroutine[Any, Any, None]) -> None:
-        """Start a task."""
-        task = asyncio.create_task(coroutine)
-        task.add_done_callback(self._check_task)
-        self._tasks.append(task)
+    def start(self, run: Callable[[], Coroutine[Any, Any, None]]) -> None:
+        """Start a task.
+
+        Args:
+            run: Returns the task's coroutine, at each start.
+        """
+        self._tasks.append(asyncio.create_task(self._keep_running(run)))
 
     async def stop(self) -> None:
         """Cancel all tasks and wait until they have ended."""
@@ -38,12 +50,25 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
-    def _check_task(self, task: asyncio.Task[None]) -> None:
-        """End the process if a task failed: a host must not run without it."""
-        if task.cancelled() or task.exception() is None:
-            return
-        self._log.error("task_failed", reason=repr(task.exception()))
-        os._exit(1)
+    async def _keep_running(
+        self, run: Callable[[], Coroutine[Any, Any, None]]
+    ) -> None:
+        loop = asyncio.get_running_loop()
+        failed_s: collections.deque[float] = collections.deque(
+            maxlen=MAX_FAILURES
+        )
+        while True:
+            try:
+                await run()
+                return
+            except Exception as error:
+                self._log.error("task_failed", **logs.describe_error(error))
+            failed_s.append(loop.time())
+            is_full = len(failed_s) == MAX_FAILURES
+            if is_full and failed_s[-1] - failed_s[0] < FAILURE_WINDOW_S:
+                self._log.error("process_ended", failures=MAX_FAILURES)
+                os._exit(1)
+            await asyncio.sleep(RESTART_DELAY_S)
 
 
 async def wait_for_stop(
--- a/src/cowslipshift/telemetry/logs.py
+++ b/src/cowslipshift/telemetry/logs.py
@@ -5,10 +5,12 @@
 import atexit
 import collections
 import json
+import logging
 import os
 import stat
 import sys
 import time
+import traceback
 from typing import TextIO
 
 import logbook
@@ -31,6 +33,11 @@
 
 FLUSH_INTERVAL_S = 0.1
 
+ERROR_FRAMES = 3
+"""Places of an unexpected error that are logged, the innermost first."""
+
+MAX_LIBRARY_TEXT = 120
+
 LEVELS = ("debug", "info", "notice", "warning", "error")
 
 
@@ -79,6 +86,44 @@
     return " ".join(parts)
 
 
+def describe_error(error: BaseException) -> dict[str, object]:
+    """Return log fields that tell what an unexpected error is and where.
+
+    Its text is left out, as it may repeat bytes of a request or a key.
+    """
+    frames = traceback.extract_tb(error.__traceback__, limit=-ERROR_FRAMES)
+    return {
+        "error": type(error).__name__,
+        "at": ",".join(
+            f"{os.path.basename(frame.filename)}:{frame.lineno}"
+            for frame in reversed(frames)
+        ),
+    }
+
+
+class LibraryLogHandler(logging.Handler):
+    """Turns records of libraries into events.
+
+    Only the first line of a record's format is kept: its arguments and
+    tracebacks may repeat bytes of a request or a key.
+    """
+
+    def __init__(self) -> None:
+        super().__init__(logging.WARNING)
+        self._log = EventLog("library")
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Log a record as one event."""
+        error = record.exc_info[1] if record.exc_info else None
+        self._log.warn(
+            "library_event",
+            library=record.name,
+            severity=record.levelname,
+            text=str(record.msg).partition("\n")[0][:MAX_LIBRARY_TEXT],
+            **(describe_error(error) if error is not None else {}),
+        )
+
+
 def _format_value(value: object) -> str:
     if isinstance(value, float):
         return f"{value:.6g}"
@@ -224,5 +269,6 @@
     handler = LineHandler(writer, level, host)
     logbook.NullHandler().push_application()
     handler.push_application()
+    logging.basicConfig(handlers=[LibraryLogHandler()], force=True)
     atexit.register(handler.flush)
     return handler
--- a/tests/edge/rawcaller.py
+++ b/tests/edge/rawcaller.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 import msgspec
+from tests.edge import daemons
 
 from cowslipshift.platform import names
 from cowslipshift.standins import platformfleet
@@ -41,8 +42,14 @@
 class RawCaller:
     """One connection to a host."""
 
-    def __init__(self, host: edge_service.EdgeService) -> None:
-        self._address = host.settings.listen.front
+    def __init__(
+        self, host: edge_service.EdgeService | daemons.Daemon
+    ) -> None:
+        self._address = (
+            host.front
+            if isinstance(host, daemons.Daemon)
+            else host.settings.listen.front
+        )
 
     async def __aenter__(self) -> RawCaller:
         """Connect."""
--- a/tests/platform/test_codec.py
+++ b/tests/platform/test_codec.py
@@ -124,10 +124,44 @@
     }
 
 
-@pytest.mark.parametrize("text", ["", "-5", "soon", "9" * 400])
-def test_malformed_deadlines_are_clamped(text) -> None:
+@pytest.mark.parametrize(
+    "text", ["", "-5", "soon", "9" * 400, "nan", "inf", "-inf", "-0.001"]
+)
+def test_malformed_deadlines_are_told_apart(text) -> None:
+    parsed = ingress.parse_request_headers({names.DEADLINE_MS_HEADER: text})
+    assert parsed.deadline_s is None
+
+
+@pytest.mark.parametrize(
+    ("text", "deadline_s"),
+    [("0", 0.0), ("250", 0.25), ("3.6e6", 3600.0), ("9" * 30, 3600.0)],
+)
+def test_deadlines_are_clamped(text, deadline_s) -> None:
     parsed = ingress.parse_request_headers({names.DEADLINE_MS_HEADER: text})
-    assert 0.0 <= parsed.deadline_s <= 3600.0
+    assert parsed.deadline_s == deadline_s
+
+
+def test_headers_that_the_platform_defines_concern_no_connection() -> None:
+    named = (
+        f"{names.REQUEST_ID_HEADER}, X-Hop, {names.SIGNATURE_HEADER}, Cookie"
+    )
+    received = [
+        ("Connection", named),
+        ("X-Hop", "1"),
+        ("Cookie", "a=b"),
+        (names.REQUEST_ID_HEADER, "r1"),
+        (names.SIGNATURE_HEADER, "s"),
+    ]
+    kept = received[2:]
+    assert ingress.filter_answer_headers(received) == kept
+    sent = ingress.build_backend_headers(received, 1.0, "i-1", None)
+    assert sent[: len(kept)] == kept
+
+
+@pytest.mark.parametrize("text", ["-1,0,3", "0,-7,3", "9999999999,0,3", "x"])
+def test_impossible_load_reports_are_ignored(text) -> None:
+    headers = {names.LOAD_HEADER: text}
+    assert ingress.parse_answer_headers(200, headers).load is None
 
 
 @pytest.mark.parametrize(
--- a/tests/store/test_client.py
+++ b/tests/store/test_client.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 import aiohttp
+from aiohttp import web
 import pytest
 import pytest_asyncio
 
@@ -96,3 +97,27 @@
     await client.delete_key("/k1", event.kv.mod_revision)
     assert (await anext(events)).deleted
     await events.aclose()  # type: ignore[attr-defined]
+
+
+@pytest.mark.parametrize(
+    ("status", "line"),
+    [(503, b""), (200, b"{\n"), (200, b"[]\n"), (200, b'{"result":1}\n')],
+)
+async def test_watch_that_fails_moves_to_the_next_endpoint(
+    setup: Setup, status: int, line: bytes
+) -> None:
+    async def answer(request: web.Request) -> web.Response:
+        return web.Response(status=status, body=line)
+
+    faulty = web.Application()
+    faulty.router.add_post("/v3/watch", answer)
+    site, port = await runner.start_site(faulty, "127.0.0.1", 0)
+    async with aiohttp.ClientSession() as session:
+        client = clients.StoreClient(
+            [f"http://127.0.0.1:{port}", *setup.client._endpoints], session
+        )
+        with pytest.raises(exceptions.StoreError):
+            async for _ in client.watch_prefix("/"):
+                pass
+        assert client._preferred == 1
+    await site.cleanup()
