Check packed messages of other hosts before they are read

Change: packing counts the words of a message and compares them with the segment table, and gives the reader a limit of twice that many words. Used for heartbeats, bundles and changes, and for peer messages of the own mode.

Ruled out: unpacked messages, more bytes between hosts; a decoder of our own.

--- a/src/cowslipshift/edge/messages.py
+++ b/src/cowslipshift/edge/messages.py
@@ -8,6 +8,7 @@
 import capnp
 import msgspec
 
+from cowslipshift import packing
 from cowslipshift.edge import exceptions
 from cowslipshift.steering import limiters
 from cowslipshift.steering import rollouts
@@ -138,7 +139,10 @@
         PeerError: The bytes are malformed.
     """
     try:
-        reader = _schema.Word.from_bytes_packed(raw)
+        limit = packing.check_packed(raw)
+        reader = _schema.Word.from_bytes_packed(
+            raw, traversal_limit_in_words=limit
+        )
         return Heartbeat(
             host=reader.host,
             incarnation=reader.incarnation,
@@ -164,7 +168,7 @@
                 for r in reader.rollouts
             ],
         )
-    except (capnp.KjException, ValueError, UnicodeDecodeError) as error:
+    except (capnp.KjException, packing.PackingError, ValueError) as error:
         raise exceptions.PeerError(
             f"malformed heartbeat from another host: {error}"
         ) from error
@@ -193,7 +197,10 @@
         PeerError: The bytes are malformed.
     """
     try:
-        reader = _schema.Bundle.from_bytes_packed(raw)
+        limit = packing.check_packed(raw)
+        reader = _schema.Bundle.from_bytes_packed(
+            raw, traversal_limit_in_words=limit
+        )
         return Bundle(
             reader.sender,
             [
@@ -201,7 +208,7 @@
                 for item in reader.passages
             ],
         )
-    except (capnp.KjException, ValueError, UnicodeDecodeError) as error:
+    except (capnp.KjException, packing.PackingError, ValueError) as error:
         raise exceptions.PeerError(
             f"malformed bundle from another host: {error}"
         ) from error
@@ -233,8 +240,9 @@
         PeerError: The bytes are malformed.
     """
     try:
+        limit = packing.check_packed(raw)
         reader = _schema.Changes.from_bytes_packed(
-            raw, traversal_limit_in_words=2**26
+            raw, traversal_limit_in_words=limit
         )
         return Changes(
             reader.revision,
@@ -248,7 +256,7 @@
                 for item in reader.items
             ),
         )
-    except (capnp.KjException, ValueError, UnicodeDecodeError) as error:
+    except (capnp.KjException, packing.PackingError, ValueError) as error:
         raise exceptions.PeerError(
             f"malformed store changes from another host: {error}"
         ) from error
--- a/src/cowslipshift/peers/messages.py
+++ b/src/cowslipshift/peers/messages.py
@@ -8,6 +8,7 @@
 import capnp
 import msgspec
 
+from cowslipshift import packing
 from cowslipshift.coordination import facts as fact_types
 from cowslipshift.coordination import loans
 from cowslipshift.coordination import ownership
@@ -183,11 +184,19 @@
             f"a peer message of {len(raw)} bytes is too large"
         )
     try:
-        reader = _schema.Message.from_bytes_packed(raw)
+        limit = packing.check_packed(raw)
+        reader = _schema.Message.from_bytes_packed(
+            raw, traversal_limit_in_words=limit
+        )
         name = reader.which()
         fields = _convert_keys_to_snake(reader.to_dict()[str(name)])
         message: Message = msgspec.convert(fields, _TYPES_BY_NAME[str(name)])
-    except (capnp.KjException, msgspec.ValidationError, KeyError) as error:
+    except (
+        capnp.KjException,
+        packing.PackingError,
+        KeyError,
+        ValueError,
+    ) as error:
         raise exceptions.PeerMessageError(
             f"a peer sent a malformed message: {error}"
         ) from error
