Keep idle connections as long as their server states

Change: a connection may be idle for 0.8 of the time that its server states in Keep-Alive, 4 s where none is stated. A kept connection that its server turned out to have closed halves that time for the server, for 30 s; one that was closed from here (a caller left, a time limit) does not count.

Ruled out: the stated time in full, as requests and closes cross on the way.

--- a/src/cowslipshift/connections.py
+++ b/src/cowslipshift/connections.py
@@ -4,10 +4,14 @@
 
 import functools
 from typing import Any
+from typing import TYPE_CHECKING
 
 import aiohttp
 from aiohttp import client_proto
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 FIRST_FINAL_STATUS = 200
 """Answers below this status are interim; another one follows."""
 
@@ -52,13 +56,13 @@
     """Opens guarded connections.
 
     Args:
-        connection: Class of the connections.
+        connection: Builds a connection, given the event loop.
         options: Options of aiohttp's connector.
     """
 
     def __init__(
         self,
-        connection: type[GuardedConnection] = GuardedConnection,
+        connection: Callable[..., GuardedConnection] = GuardedConnection,
         **options: Any,
     ) -> None:
         super().__init__(limit=0, **options)
--- a/src/cowslipshift/edge/upstream.py
+++ b/src/cowslipshift/edge/upstream.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 from typing import Any
 from typing import TYPE_CHECKING
 
@@ -14,6 +15,7 @@
 from cowslipshift import bodies
 from cowslipshift import connections
 from cowslipshift.edge import exceptions
+from cowslipshift.edge import idlelimits
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -23,9 +25,8 @@
 """Several round trips between regions. A lost SYN packet is sent again only
 after seconds, so it is faster to try another server."""
 
-IDLE_TIMEOUT_S = 4.0
-"""Shorter than the time after which backend servers close idle
-connections."""
+MAX_IDLE_S = 60.0
+"""Longest time that a connection is kept; servers mostly state less."""
 
 MAX_ANSWER_BYTES = 8 * 1024 * 1024
 """Largest body of an answer. A faulty backend server may send without end."""
@@ -56,17 +57,53 @@
     does not limit interim answers, blank lines or the framing of chunks.
     """
 
-    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+    def __init__(
+        self,
+        idle_limits: idlelimits.IdleLimits,
+        loop: asyncio.AbstractEventLoop,
+    ) -> None:
         super().__init__(loop)
+        self._idle_limits = idle_limits
         self._received_bytes = 0
+        self._received_s = 0.0
+        self._reused_idle_s: float | None = None
+        self._keep_alive: str | None = None
+        self._address = ""
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Note the address of the server."""
+        super().connection_made(transport)
+        ip, port = transport.get_extra_info("peername")[:2]
+        self._address = f"{ip}:{port}"
+
+    def is_connected(self) -> bool:
+        """Tell whether the connection may be used."""
+        if not super().is_connected():
+            return False
+        if not self._is_answered:
+            return True
+        now = self._loop.time()
+        limit_s = self._idle_limits.get_limit(
+            self._address, self._keep_alive, now
+        )
+        return now - self._received_s < limit_s
 
     def set_response_params(self, **params: Any) -> None:
         """Prepare for the answer to another request."""
         self._received_bytes = 0
+        if self._received_s:
+            self._reused_idle_s = self._loop.time() - self._received_s
         super().set_response_params(**params)
 
+    def feed_data(self, data: Any, size: int = 0) -> None:
+        """Note how long the server keeps idle connections."""
+        message, _ = data
+        self._keep_alive = message.headers.get("Keep-Alive")
+        super().feed_data(data, size)
+
     def data_received(self, data: bytes) -> None:
         """Fail the answer if too much has arrived for it."""
+        self._received_s = self._loop.time()
         self._received_bytes += len(data)
         if self._received_bytes <= MAX_RECEIVED_BYTES:
             super().data_received(data)
@@ -82,6 +119,17 @@
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Fail the answer that is being read if the connection was reset."""
+        is_unanswered = not self._received_bytes and not self._is_answered
+        # There is no transport if the connection was closed from here.
+        is_closed_there = self.transport is not None
+        if (
+            self._reused_idle_s is not None
+            and is_unanswered
+            and (is_closed_there)
+        ):
+            self._idle_limits.record_failure(
+                self._address, self._reused_idle_s, self._loop.time()
+            )
         payload = self._payload
         if exc is not None and payload is not None and not payload.is_eof():
             payload.set_exception(
@@ -95,7 +143,8 @@
 def _open_session() -> aiohttp.ClientSession:
     session = aiohttp.ClientSession(
         connector=connections.GuardedConnector(
-            _Connection, keepalive_timeout=IDLE_TIMEOUT_S
+            functools.partial(_Connection, idlelimits.IdleLimits()),
+            keepalive_timeout=MAX_IDLE_S,
         ),
         cookie_jar=aiohttp.DummyCookieJar(),
         auto_decompress=False,
