Learn round trips from the connections that are opened

Change: the time that opening a connection takes is a round trip; the balancer keeps a moving mean by data centre and by region.

Ruled out: answers less the server's work, as work is not stated; what hosts measure among themselves, as datagrams pass through relays.

--- a/src/cowslipshift/edge/service.py
+++ b/src/cowslipshift/edge/service.py
@@ -202,7 +202,7 @@
             self._session,
             self._metrics.count_store_call,
         )
-        self._client = upstream.UpstreamClient()
+        self._client = upstream.UpstreamClient(self._balancer.record_connect)
         self._handler = handlers.RequestHandler(
             attempts.Dependencies(
                 self._clock, self._balancer, self._client, self._metrics
--- a/src/cowslipshift/edge/upstream.py
+++ b/src/cowslipshift/edge/upstream.py
@@ -140,7 +140,25 @@
         super().connection_lost(exc)
 
 
-def _open_session() -> aiohttp.ClientSession:
+def _open_session(
+    on_connect: Callable[[str, float], None],
+) -> aiohttp.ClientSession:
+    loop = asyncio.get_running_loop()
+    trace = aiohttp.TraceConfig()
+
+    async def note_start(
+        session: aiohttp.ClientSession, context: Any, params: object
+    ) -> None:
+        context.connecting_since_s = loop.time()
+
+    async def note_end(
+        session: aiohttp.ClientSession, context: Any, params: object
+    ) -> None:
+        request = context.trace_request_ctx
+        on_connect(request, loop.time() - context.connecting_since_s)
+
+    trace.on_connection_create_start.append(note_start)
+    trace.on_connection_create_end.append(note_end)
     session = aiohttp.ClientSession(
         connector=connections.GuardedConnector(
             functools.partial(_Connection, idlelimits.IdleLimits()),
@@ -152,6 +170,7 @@
         timeout=aiohttp.ClientTimeout(
             total=None, sock_connect=CONNECT_TIMEOUT_S
         ),
+        trace_configs=[trace],
     )
     # When a kept connection turns out closed, aiohttp sends requests with
     # idempotent methods again. Here the route decides what may be repeated.
@@ -160,10 +179,18 @@
 
 
 class UpstreamClient:
-    """Sends requests over pooled connections to backend servers."""
+    """Sends requests over pooled connections to backend servers.
 
-    def __init__(self) -> None:
-        self._session = _open_session()
+    Args:
+        on_connect: Called with the address of a server and the seconds that
+            opening a connection to it took.
+    """
+
+    def __init__(
+        self,
+        on_connect: Callable[[str, float], None] = lambda address, took: None,
+    ) -> None:
+        self._session = _open_session(on_connect)
         self._buffered_bytes = 0
 
     async def send(
@@ -202,6 +229,7 @@
                     headers=headers,
                     data=body,
                     allow_redirects=False,
+                    trace_request_ctx=address,
                 ) as response:
                     if not is_own(response.headers):
                         response.close()
--- a/src/cowslipshift/steering/balancer.py
+++ b/src/cowslipshift/steering/balancer.py
@@ -13,6 +13,7 @@
 from cowslipshift.steering import latencies
 from cowslipshift.steering import placement
 from cowslipshift.steering import rollouts
+from cowslipshift.steering import roundtrips
 from cowslipshift.steering import routes
 from cowslipshift.steering import splits
 
@@ -22,11 +23,6 @@
     from cowslipshift.steering import membership as memberships
     from cowslipshift.steering import model
 
-REGION_RTT_S = 0.024
-"""Round trip between regions, as the platform states it."""
-
-LOCAL_RTT_S = 0.002
-
 COLD_SENDERS = 2
 """Number of hosts that may send to a cold server if no other server is left.
 It is more than one, so that the server is used if one of them fails."""
@@ -77,6 +73,9 @@
         self.rollouts: dict[str, rollouts.Rollout] = {}
         self.configuration: model.Configuration | None = None
         self.inventory = inventories.Inventory()
+        self.round_trips = roundtrips.RoundTrips(
+            membership.own.region, regions
+        )
         self._own_region = membership.own.region
         self._regions = regions
         self._retry_ratio = retry_ratio * RETRY_SAFETY
@@ -235,6 +234,12 @@
             )
         return best
 
+    def record_connect(self, address: str, took_s: float) -> None:
+        """Record how long it took to open a connection to a server."""
+        data_centre = self.inventory.find_data_centre(address)
+        if data_centre is not None:
+            self.round_trips.record(data_centre, took_s)
+
     def try_retry(self, service: str) -> bool:
         """Take a retry from the service's budget if there is one."""
         return self._get_budget(service).try_spend()
@@ -331,8 +336,7 @@
         )
         is_warm = is_known_warm or position == 0
         typical_s = latency.estimate(is_warm)
-        region = self._regions.get(state.entry.data_centre)
-        rtt_s = LOCAL_RTT_S if region == self._own_region else REGION_RTT_S
+        rtt_s = self.round_trips.estimate(state.entry.data_centre)
         queue_s = state.estimate_wait(now, latency.warm_s)
         service_time_s = typical_s * state.estimate_slowness(now)
         expected_s = rtt_s + queue_s + service_time_s
--- a/src/cowslipshift/steering/inventory.py
+++ b/src/cowslipshift/steering/inventory.py
@@ -33,6 +33,7 @@
         self.evacuated: set[str] = set()
         self._by_id: dict[str, backends.BackendState] = {}
         self._services: dict[str, list[backends.BackendState]] = {}
+        self._data_centres_by_address: dict[str, str] = {}
         self._expired: set[str] = set()
         self._store_recovery_until_s = -1e9
 
@@ -45,6 +46,10 @@
         """Return the servers of a service."""
         return self._services.get(service, [])
 
+    def find_data_centre(self, address: str) -> str | None:
+        """Return the data centre of the server at an address."""
+        return self._data_centres_by_address.get(address)
+
     def record_store_outage(self, now: float) -> None:
         """Record that the store is unreachable, so entries may expire."""
         self._store_recovery_until_s = now + STORE_RECOVERY_S
@@ -122,6 +127,10 @@
     def _rebuild(self) -> None:
         self.generation += 1
         self._services = {}
+        self._data_centres_by_address = {
+            state.entry.address: state.entry.data_centre
+            for state in self._by_id.values()
+        }
         for state in self._by_id.values():
             listed = self._services.setdefault(state.entry.service, [])
             listed.append(state)
