Do not shorten a server's expected wait at its first answer

Cause: the mean latency of a server started from 0, so that after one answer it was a tenth of that answer, and queues looked a tenth as long as they were. A host that asks a server once in minutes, as with hundreds of hosts, never got further.

Change: the mean starts from what such a request usually takes.

Ruled out: starting from the first answer, as one cold answer would count for long where answers are rare.

Before: the new test in tests/steering/test_balancer.py fails. After: passes.

--- a/src/cowslipshift/steering/backends.py
+++ b/src/cowslipshift/steering/backends.py
@@ -146,9 +146,9 @@
         slowness = self.estimate_slowness(now)
         self._slowness = slowness + SLOWNESS_EWMA_WEIGHT * (ratio - slowness)
         self._slowness_s = now
-        self._mean_latency_s += LATENCY_EWMA_WEIGHT * (
-            took_s - self._mean_latency_s
-        )
+        # Before its first answer, a server is assumed to be as usual.
+        mean_s = self._mean_latency_s or baseline_s
+        self._mean_latency_s = mean_s + LATENCY_EWMA_WEIGHT * (took_s - mean_s)
         if affinity_key:
             self._warm[affinity_key] = now
             self._warm.move_to_end(affinity_key)
--- a/tests/steering/test_balancer.py
+++ b/tests/steering/test_balancer.py
@@ -234,3 +234,14 @@
         span = [at for at in retries if start <= at < start + 10]
         asked = [at for at in requests if start <= at < start + 10]
         assert len(span) <= 0.2 * len(asked) + 60
+
+
+# Guards against queues that look a tenth as long as they are to hosts that
+# seldom ask a server, which is each host where there are hundreds.
+def test_first_answer_does_not_shorten_the_expected_wait() -> None:
+    balancer = builders.build_balancer(backends=SERVERS)
+    state = choose(balancer).state
+    state.record_load(state.entry.slots * 3, 0, 0.0)
+    before_s = state.estimate_wait(0.0, 0.4)
+    state.record_answer("x", 0.4, 0.4, 0.0)
+    assert state.estimate_wait(0.0, 0.4) == pytest.approx(before_s)
