Count no lost answers of servers that have died against their version

Ruled out: counting no lost answers at all, as a version may keep them; higher thresholds, as bad versions are to be found within a few seconds.

--- a/src/cowslipshift/edge/attempts.py
+++ b/src/cowslipshift/edge/attempts.py
@@ -191,11 +191,15 @@
         except exceptions.NotSentError as error:
             self._connect_failures += 1
             self._record_failure(choice, error, is_down=True)
+            deps.balancer.record_gone_server(call, choice, deps.clock.now())
             return None
         except exceptions.AnswerLostError as error:
             self._sent += 1
             self._may_have_run = True
             self._record_failure(choice, error, is_down=False)
+            deps.balancer.record_lost_answer(
+                call, choice, now, deps.clock.now()
+            )
             if error.is_timeout or not call.route.is_idempotent:
                 raise self._build_unknown(error.is_timeout) from error
             return None
@@ -219,12 +223,16 @@
         self._sent += 1
         if answer_headers.has_not_run:
             self._record_shed(choice, answer.status)
+            if answer_headers.is_other_server:
+                deps.balancer.record_gone_server(call, choice, now)
             return None
         self._may_have_run = True
         is_success = 200 <= answer.status < 300
         if is_success and not answer_headers.is_signed:
             error = exceptions.AnswerLostError("unsigned answer", False)
             self._record_failure(choice, error, is_down=False)
+            if not state.is_cold(now):
+                self._record_version_outcome(choice, is_bad=True)
             if not call.route.is_idempotent:
                 raise self._build_unknown(is_timeout=False)
             return None
@@ -281,8 +289,6 @@
     ) -> None:
         now = self._deps.clock.now()
         is_ejected = choice.state.record_failure(now, is_down)
-        if not is_down and not choice.state.is_cold(now):
-            self._record_version_outcome(choice, is_bad=True)
         self._deps.metrics.count_failure(error.code)
         _log.notice(
             "attempt_failed",
@@ -306,13 +312,13 @@
     def _record_version_outcome(
         self, choice: calls.Choice, is_bad: bool
     ) -> None:
-        version = choice.state.entry.version
-        if self._deps.balancer.record_outcome(self._call, version, is_bad):
+        call, now = self._call, self._deps.clock.now()
+        if self._deps.balancer.record_outcome(call, choice, is_bad, now):
             _log.warn(
                 "version_condemned",
                 id=self._request_headers.id,
-                service=self._call.service,
-                version=version,
+                service=call.service,
+                version=choice.state.entry.version,
             )
 
 
--- a/src/cowslipshift/edge/service.py
+++ b/src/cowslipshift/edge/service.py
@@ -389,6 +389,8 @@
                 )
                 self._watcher.request_reread()
             self._balancer.refill_budgets(passed_s)
+            for service in self._balancer.count_lost_answers(now):
+                self._log.warn("version_condemned", service=service)
             for identity in self._balancer.inventory.drop_expired(now):
                 self._log.info("lapsed_dropped", backend=identity)
             for name in self._membership.drop_unregistered(now):
--- a/src/cowslipshift/platform/ingress.py
+++ b/src/cowslipshift/platform/ingress.py
@@ -54,6 +54,9 @@
 )
 """Headers that `Connection` cannot declare to concern one connection only."""
 
+OTHER_SERVER_STATUS = 421
+"""Answer of a server that is not the one that the request names."""
+
 MAX_DEADLINE_S = 3600.0
 MAX_REPORTED_LOAD = 100_000
 """Larger numbers in a load report are a fault of the server."""
@@ -82,11 +85,13 @@
     Attributes:
         is_signed: Whether the server signed the answer.
         has_not_run: Whether the server states that the request did not run.
+        is_other_server: Whether another server than the one asked for answers.
         load: Numbers of running and queued requests, if reported.
     """
 
     is_signed: bool
     has_not_run: bool
+    is_other_server: bool
     load: tuple[int, int] | None
 
 
@@ -155,7 +160,9 @@
     """
     return AnswerHeaders(
         is_signed=names.SIGNATURE_HEADER in headers,
-        has_not_run=names.NOT_EXECUTED_HEADER in headers or status == 421,
+        has_not_run=names.NOT_EXECUTED_HEADER in headers
+        or status == OTHER_SERVER_STATUS,
+        is_other_server=status == OTHER_SERVER_STATUS,
         load=_parse_load(headers.get(names.LOAD_HEADER, "")),
     )
 
--- a/src/cowslipshift/steering/balancer.py
+++ b/src/cowslipshift/steering/balancer.py
@@ -11,6 +11,7 @@
 from cowslipshift.steering import changes
 from cowslipshift.steering import inventory as inventories
 from cowslipshift.steering import latencies
+from cowslipshift.steering import lostanswers
 from cowslipshift.steering import placement
 from cowslipshift.steering import rollouts
 from cowslipshift.steering import roundtrips
@@ -264,7 +265,7 @@
             )
 
     def record_outcome(
-        self, call: calls.Call, version: str, is_bad: bool
+        self, call: calls.Call, choice: calls.Choice, is_bad: bool, now: float
     ) -> bool:
         """Record an answer for the service's roll-out, if any.
 
@@ -272,7 +273,50 @@
             Whether this host now rejects the new version.
         """
         rollout = self.rollouts.get(call.service)
-        return rollout is not None and rollout.record_answer(version, is_bad)
+        if rollout is None:
+            return False
+        entry = choice.state.entry
+        rollout.record_server(entry.id, False, now)
+        return rollout.record_answer(entry.version, is_bad)
+
+    def record_lost_answer(
+        self,
+        call: calls.Call,
+        choice: calls.Choice,
+        sent_s: float,
+        now: float,
+    ) -> None:
+        """Record an answer that was lost for the service's roll-out, if any.
+
+        Servers that have just started may be too slow, whatever their
+        version.
+        """
+        rollout = self.rollouts.get(call.service)
+        entry = choice.state.entry
+        if rollout is not None and not choice.state.is_cold(now):
+            rollout.record_lost_answer(
+                lostanswers.LostAnswer(entry.id, entry.version, sent_s, now)
+            )
+
+    def record_gone_server(
+        self, call: calls.Call, choice: calls.Choice, now: float
+    ) -> None:
+        """Record that a server does not listen, or that another one does."""
+        rollout = self.rollouts.get(call.service)
+        if rollout is not None:
+            rollout.record_server(choice.state.entry.id, True, now)
+
+    def count_lost_answers(self, now: float) -> list[str]:
+        """Count lost answers that no gone server explains, for roll-outs.
+
+        Returns:
+            Services whose new version this host now rejects.
+        """
+        return [
+            service
+            for service, rollout in self.rollouts.items()
+            if rollout.count_lost_answers(now)
+        ]
 
     def _may_use_old_version(self, call: calls.Call) -> bool:
         """Tell whether the old version may run what the new one cannot."""
--- a/src/cowslipshift/steering/rollouts.py
+++ b/src/cowslipshift/steering/rollouts.py
@@ -14,6 +14,7 @@
 import msgspec
 
 from cowslipshift.coordination import hashing
+from cowslipshift.steering import lostanswers
 from cowslipshift.store import exceptions
 
 if TYPE_CHECKING:
@@ -161,6 +162,7 @@
     __slots__ = (
         "_due_since_s",
         "_credit",
+        "_lost_answers",
         "_peers",
         "_started_s",
         "rejects_new_version",
@@ -179,6 +181,7 @@
         self.counts = Counts()
         self.rejects_new_version = False
         self._peers: dict[str, Counts] = {}
+        self._lost_answers = lostanswers.LostAnswers()
         self._credit = 0.0
         self._started_s = 0.0
         self._due_since_s = 0.0
@@ -191,6 +194,7 @@
             self.counts = Counts()
             self.rejects_new_version = False
             self._peers.clear()
+            self._lost_answers.clear()
             self._credit = 0.0
             self._started_s = self._due_since_s = now
         self.order = order
@@ -280,6 +284,30 @@
             return self.rejects_new_version
         return False
 
+    def record_lost_answer(self, lost: lostanswers.LostAnswer) -> None:
+        """Record an answer that was lost; it may count later."""
+        if self.order is not None:
+            self._lost_answers.add(lost)
+
+    def record_server(self, server: str, is_gone: bool, now: float) -> None:
+        """Record that a server answered, or that it is gone."""
+        if is_gone:
+            self._lost_answers.record_gone(server, now)
+        else:
+            self._lost_answers.record_answer(server, now)
+
+    def count_lost_answers(self, now: float) -> bool:
+        """Count lost answers that no gone server explains.
+
+        Returns:
+            Whether the new version is now rejected.
+        """
+        proven = self._lost_answers.take_proven(now)
+        rejections = [
+            self.record_answer(lost.version, is_bad=True) for lost in proven
+        ]
+        return any(rejections)
+
     def record_peer(
         self,
         process: str,
