Reserve the ports of fleets until their process ends

Cause: free ports were chosen, closed, and bound later; another test run, or an outgoing connection, could take one in between (seen as "address in use" and as answers of another fleet's store).

Change: ports come from below the range of outgoing connections, and a lock on a file stands for each until its process ends.

Ruled out: handing bound sockets to the hosts, as a host that tests kill and start again needs its port meanwhile, and a socket that its parent holds would accept for it.

--- a/src/cowslipshift/standins/deployments.py
+++ b/src/cowslipshift/standins/deployments.py
@@ -2,18 +2,18 @@
 
 from __future__ import annotations
 
-import socket
 from typing import TYPE_CHECKING
 
 import msgspec
 
 from cowslipshift.config import model
+from cowslipshift.standins import portreservations
 from cowslipshift.topology import accounts
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-LOOPBACK_ADDRESS = "127.0.0.1"
+LOOPBACK_ADDRESS = portreservations.LOOPBACK_ADDRESS
 LINK_LATENCY_MS = 12.0
 LINK_LIMIT_MBIT = 4_000.0
 
@@ -86,20 +86,11 @@
 
 
 class PortAllocator:
-    """Allocates free TCP ports of this machine, each at most once."""
-
-    def __init__(self) -> None:
-        self._allocated: set[int] = set()
+    """Allocates ports of this machine, each at most once."""
 
     def allocate(self) -> int:
-        """Return a free port that was not allocated before."""
-        while True:
-            with socket.socket() as probe:
-                probe.bind((LOOPBACK_ADDRESS, 0))
-                port: int = probe.getsockname()[1]
-            if port not in self._allocated:
-                self._allocated.add(port)
-                return port
+        """Return a port that nobody else has."""
+        return portreservations.reserve_ports(1)[0]
 
 
 def build_configuration(
--- a/src/cowslipshift/standins/platformfleet.py
+++ b/src/cowslipshift/standins/platformfleet.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import contextlib
-import socket
 from typing import Any
 from typing import TYPE_CHECKING
 
@@ -19,6 +18,7 @@
 from cowslipshift.platform import settings as platform_settings
 from cowslipshift.standins import platformbackend
 from cowslipshift.standins import platformstore
+from cowslipshift.standins import portreservations
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -194,7 +194,7 @@
     async def add_host(self, data_centre: str) -> edge_service.EdgeService:
         """Start a host that uses a port of the store of its own."""
         store_address = await self.open_store_port()
-        ports = find_free_ports(5)
+        ports = portreservations.reserve_ports(5, consecutive=2)
         settings = platform_settings.HostSettings(
             node_name=f"host-{len(self.hosts) + 1}",
             ip="127.0.0.1",
@@ -306,36 +306,11 @@
         )
         await runner.setup()
         self._runners.append(runner)
-        port = find_free_ports(1)[0]
+        port = portreservations.reserve_ports(1)[0]
         await web.TCPSite(runner, "127.0.0.1", port).start()
         return f"127.0.0.1:{port}"
 
 
-def find_free_ports(count: int) -> list[int]:
-    """Return free ports; the first two are consecutive."""
-    while True:
-        sockets = [socket.socket() for _ in range(count)]
-        try:
-            for probe in sockets:
-                probe.bind(("127.0.0.1", 0))
-            ports = [probe.getsockname()[1] for probe in sockets]
-        finally:
-            for probe in sockets:
-                probe.close()
-        if count == 1:
-            return ports
-        next_socket = socket.socket()
-        try:
-            next_socket.bind(("127.0.0.1", ports[0] + 1))
-        except OSError:
-            continue
-        finally:
-            next_socket.close()
-        ports[1] = ports[0] + 1
-        if len(set(ports)) == count:
-            return ports
-
-
 async def wait_until(condition: Callable[[], bool]) -> None:
     """Wait until a condition holds.
 
--- a/tests/edge/daemons.py
+++ b/tests/edge/daemons.py
@@ -11,6 +11,7 @@
 from cowslipshift.platform import names
 from cowslipshift.platform import settings as platform_settings
 from cowslipshift.standins import platformfleet
+from cowslipshift.standins import portreservations
 
 SETTINGS = """\
 node_name = "{name}"
@@ -45,7 +46,7 @@
     async def start(
         self, folder: pathlib.Path, name: str, centre: str
     ) -> None:
-        ports = platformfleet.find_free_ports(5)
+        ports = portreservations.reserve_ports(5, consecutive=2)
         store = await self.fleet.open_store_port()
         self.front = f"127.0.0.1:{ports[2]}"
         self.ready = f"127.0.0.1:{ports[3]}"
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -12,8 +12,8 @@
 from cowslipshift import clock as clocks
 from cowslipshift.platform import names
 from cowslipshift.platform import store as stores
-from cowslipshift.standins import platformfleet
 from cowslipshift.standins import platformstore
+from cowslipshift.standins import portreservations
 from cowslipshift.store import exceptions
 
 if TYPE_CHECKING:
@@ -34,7 +34,7 @@
             self.stand_in.build_application(), shutdown_timeout=0.1
         )
         await self.runner.setup()
-        port = platformfleet.find_free_ports(1)[0]
+        port = portreservations.reserve_ports(1)[0]
         await web.TCPSite(self.runner, "127.0.0.1", port).start()
         self.session = aiohttp.ClientSession()
         self.client = stores.PlatformStore(
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -7,7 +7,7 @@
 import pytest
 
 from cowslipshift import bodies
-from cowslipshift.standins import platformfleet
+from cowslipshift.standins import portreservations
 
 LIMIT = 200_000
 
@@ -29,7 +29,7 @@
     application.router.add_get("/", serve)
     runner = web.AppRunner(application, shutdown_timeout=0.1)
     await runner.setup()
-    port = platformfleet.find_free_ports(1)[0]
+    port = portreservations.reserve_ports(1)[0]
     await web.TCPSite(runner, "127.0.0.1", port).start()
     try:
         async with (
