Move objects away from servers that fail a part of their requests

Cause: a server was left only after three failures in a row. One that failed 0.2 or 0.4 of its requests kept its objects, and an object that had moved once never came back, as its second server seemed quicker by a hair.

Change: each server has a share of failures (5xx answers, lost answers, refusals with slots free), which costs four target latencies times the share where servers are compared; a detour costs a tenth of the target.

Ruled out: ejecting at a share, as many servers fail at once when the network does, and all would go.

--- a/src/cowslipshift/edge/attempts.py
+++ b/src/cowslipshift/edge/attempts.py
@@ -301,12 +301,15 @@
         )
 
     def _record_shed(self, choice: calls.Choice, status: int) -> None:
+        now = self._deps.clock.now()
+        if choice.state.estimate_load(now) < choice.state.entry.slots:
+            choice.state.record_outcome(True, now)
         self._deps.metrics.count_failure("not_executed")
         _log.notice(
             "attempt_shed",
             id=self._request_headers.id,
             status=status,
-            **describe_choice(choice, self._deps.clock.now()),
+            **describe_choice(choice, now),
         )
 
     def _record_version_outcome(
--- a/src/cowslipshift/steering/backends.py
+++ b/src/cowslipshift/steering/backends.py
@@ -24,6 +24,11 @@
 FIRST_EJECTION_S = 0.5
 MAX_EJECTION_S = 4.0
 
+FAILURE_SHARE_EWMA_WEIGHT = 0.2
+FAILURE_SHARE_DECAY_S = 6.0
+"""Decay time of the share of failures of a server that is not asked, so that
+it is tried again."""
+
 LATENCY_EWMA_WEIGHT = 0.1
 
 
@@ -43,6 +48,8 @@
     __slots__ = (
         "_ejected_until_s",
         "_ejection_s",
+        "_failure_share",
+        "_failure_share_s",
         "_failures",
         "_other_load",
         "_reported_s",
@@ -71,6 +78,8 @@
         self._slowness_s = now
         self._mean_latency_s = 0.0
         self._failures = 0
+        self._failure_share = 0.0
+        self._failure_share_s = now
         self._ejection_s = FIRST_EJECTION_S
         self._ejected_until_s = now
         self._warm: collections.OrderedDict[str, float] = (
@@ -119,6 +128,25 @@
         decay = math.exp(-(now - self._slowness_s) / SLOWNESS_DECAY_S)
         return 1.0 + (self._slowness - 1.0) * decay
 
+    def estimate_failure_share(self, now: float) -> float:
+        """Return the share of requests that it fails.
+
+        A server may fail a part of its requests while its health check, or
+        the next request, is good, so that it is never ejected.
+        """
+        passed_s = now - self._failure_share_s
+        return self._failure_share * math.exp(
+            -passed_s / FAILURE_SHARE_DECAY_S
+        )
+
+    def record_outcome(self, is_failure: bool, now: float) -> None:
+        """Record whether it failed a request that it could have run."""
+        share = self.estimate_failure_share(now)
+        self._failure_share = share + FAILURE_SHARE_EWMA_WEIGHT * (
+            float(is_failure) - share
+        )
+        self._failure_share_s = now
+
     def is_warm_for(self, affinity_key: str, now: float) -> bool:
         """Tell whether this host recently saw it handle an object."""
         return now - self._warm.get(affinity_key, -math.inf) < WARM_FOR_S
@@ -142,6 +170,7 @@
         self._failures = 0
         self.is_suspect = False
         self._ejection_s = FIRST_EJECTION_S
+        self.record_outcome(False, now)
         ratio = min(MAX_SLOWNESS, took_s / max(baseline_s, 0.01))
         slowness = self.estimate_slowness(now)
         self._slowness = slowness + SLOWNESS_EWMA_WEIGHT * (ratio - slowness)
@@ -164,6 +193,7 @@
                 them; one such failure suffices to eject it.
         """
         self._failures += 1
+        self.record_outcome(True, now)
         if not is_down and self._failures < FAILURES_TO_EJECT:
             return False
         if now >= self._ejected_until_s:
--- a/src/cowslipshift/steering/balancer.py
+++ b/src/cowslipshift/steering/balancer.py
@@ -35,6 +35,14 @@
 MAX_CACHED_RANKINGS = 20_000
 """Objects whose ranking is cached; computing one takes some microseconds."""
 
+FAILURE_COST_TARGETS = 4.0
+"""What a failed request costs, in target latencies of its route: a server that
+fails more than a fourth of its requests loses to a cold one."""
+
+DETOUR_COST_TARGETS = 0.1
+"""What another server than an object's first one costs, in target latencies,
+so that objects come back when their first server is as good again."""
+
 COLD_RATE_SAFETY = 0.7
 MIN_RETRY_AFTER_S = 0.1
 MAX_RETRY_AFTER_S = 1.0
@@ -214,11 +222,15 @@
         if not ready and self._may_use_old_version(call):
             call.uses_new_version = False
             return self.choose_backend(call, now)
-        best: calls.Choice | None = None
-        for position, state in enumerate(ready):
-            choice = self._predict(call, state, position, now)
-            if best is None or choice.expected_s < best.expected_s:
-                best = choice
+        choices = [
+            self._predict(call, state, position, now)
+            for position, state in enumerate(ready)
+        ]
+        best = min(
+            choices,
+            key=lambda choice: self._measure_cost(call, choice, now),
+            default=None,
+        )
         if best is None:
             best = self._choose_cold(call, cold, now)
         if best is None:
@@ -394,6 +406,17 @@
             queue_s,
         )
 
+    def _measure_cost(
+        self, call: calls.Call, choice: calls.Choice, now: float
+    ) -> float:
+        """Return the expected latency, with surcharges, in seconds."""
+        surcharge = FAILURE_COST_TARGETS * choice.state.estimate_failure_share(
+            now
+        )
+        if choice.position:
+            surcharge += DETOUR_COST_TARGETS
+        return choice.expected_s + surcharge * call.route.target_s
+
     def _choose_cold(
         self,
         call: calls.Call,
