Remember how busy a server usually is between its reports

Cause: a load report decayed to nothing within 0.7 s.

Change: a report decays to the mean of the last ones (3 s), and that mean in 10 s without a report.

Ruled out: one home of an object for all regions (the requests are bound to their region; measured, no gain); more weight for the last report alone.

Tests: the last two of tests/steering/test_balancer.py, one of which fails on the code before.

--- a/src/cowslipshift/steering/backends.py
+++ b/src/cowslipshift/steering/backends.py
@@ -13,6 +13,13 @@
 """Decay time of a load report. It halves in about half a second, which is how
 long requests last."""
 
+USUAL_LOAD_WINDOW_S = 3.0
+"""Window of the mean of load reports, towards which one of them decays."""
+
+USUAL_LOAD_DECAY_S = 10.0
+"""Decay time of that mean without reports. Where there are many hosts, each
+asks a server only every few seconds."""
+
 SLOWNESS_DECAY_S = 4.0
 SLOWNESS_EWMA_WEIGHT = 0.3
 MAX_SLOWNESS = 12.0
@@ -53,6 +60,7 @@
         "_failures",
         "_other_load",
         "_reported_s",
+        "_usual_load",
         "_slowness",
         "_slowness_s",
         "_warm",
@@ -73,6 +81,7 @@
         self.is_draining = entry.is_draining
         self.is_suspect = False
         self._other_load = 0.0
+        self._usual_load = 0.0
         self._reported_s = now
         self._slowness = 1.0
         self._slowness_s = now
@@ -99,8 +108,11 @@
     def estimate_load(self, now: float) -> float:
         """Return its running and queued requests from all hosts."""
         age_s = now - self._reported_s
-        others = self._other_load * math.exp(-age_s / LOAD_DECAY_S)
-        return self.in_flight + others
+        momentary = self._other_load - self._usual_load
+        others = self._estimate_usual_load(age_s) + momentary * math.exp(
+            -age_s / LOAD_DECAY_S
+        )
+        return self.in_flight + max(0.0, others)
 
     def measure_report_age(self, now: float) -> float:
         """Return the age in seconds of the last load report."""
@@ -153,9 +165,16 @@
 
     def record_load(self, running: int, waiting: int, now: float) -> None:
         """Record a load report, without this host's own requests."""
+        age_s = now - self._reported_s
         self._other_load = max(0.0, running + waiting - self.in_flight)
+        usual = self._estimate_usual_load(age_s)
+        weight = 1.0 - math.exp(-age_s / USUAL_LOAD_WINDOW_S)
+        self._usual_load = usual + weight * (self._other_load - usual)
         self._reported_s = now
 
+    def _estimate_usual_load(self, age_s: float) -> float:
+        return self._usual_load * math.exp(-age_s / USUAL_LOAD_DECAY_S)
+
     def record_answer(
         self, affinity_key: str, took_s: float, baseline_s: float, now: float
     ) -> None:
--- a/tests/steering/test_balancer.py
+++ b/tests/steering/test_balancer.py
@@ -245,3 +245,24 @@
     before_s = state.estimate_wait(0.0, 0.4)
     state.record_answer("x", 0.4, 0.4, 0.0)
     assert state.estimate_wait(0.0, 0.4) == pytest.approx(before_s)
+
+
+# Guards against hosts that each ask a busy server every few seconds, have
+# forgotten its last report by then, and together overfill it.
+def test_server_that_is_busy_at_each_report_stays_busy_between_them() -> None:
+    balancer = builders.build_balancer(backends=SERVERS)
+    state = choose(balancer).state
+    for now in (4.0, 8.0, 12.0):
+        state.record_load(20, 10, now)
+    assert state.estimate_load(15.0) > 0.6 * 30
+    assert state.estimate_load(60.0) < 1.0
+
+
+def test_one_peak_of_load_is_forgotten_soon() -> None:
+    balancer = builders.build_balancer(backends=SERVERS)
+    state = choose(balancer).state
+    for step in range(40):
+        state.record_load(2, 0, step * 0.25)
+    state.record_load(30, 0, 10.0)
+    assert state.estimate_load(10.0) == pytest.approx(30.0)
+    assert state.estimate_load(12.5) < 6.0
