Cut nothing at a planned stop that was just accepted; ignore a second signal

Cause: a connection in the listen queue was reset when the host stopped to listen, and one that was accepted a moment before was closed as idle, also with bytes that were not read yet. The library that runs the process restores the default action of signals before it stops services, so a second SIGTERM ended the process in the middle of its stop, with all requests (both modes); one that came before the host was ready ended it without deregistering.

Change: before it stops to listen, a host accepts what waits; a connection without a request is left open for 0.5 s, and none is closed while bytes wait. The process's own handlers of SIGTERM and SIGINT stand from its first line to its end; signals in between are noted, and more of them change nothing.

Ruled out: waiting a fixed time after closing the listener, as what is in its queue is reset at once.

--- a/src/cowslipshift/daemon/main.py
+++ b/src/cowslipshift/daemon/main.py
@@ -4,7 +4,6 @@
 
 import gc
 import os
-import signal
 import sys
 from typing import Any
 
@@ -62,6 +61,7 @@
         for fault in error.faults:
             print(f"cowslipshiftd: [{error.code}] {fault}", file=sys.stderr)
         sys.exit(INVALID_SETTINGS_STATUS)
+    stop_signals = supervision.StopSignals()
     _tune_collector()
     handler = logs.install_handler(settings.log_level, settings.name)
     with aiomisc.entrypoint(
@@ -69,10 +69,10 @@
         log_config=False,
         pool_size=2,
         loop_factory=uvloop.new_event_loop,
-        catch_signals=(signal.SIGTERM, signal.SIGINT),
+        catch_signals=supervision.STOP_SIGNALS,
         shutdown_timeout=settings.drain_s + SHUTDOWN_MARGIN_S,
     ) as loop:
-        loop.run_until_complete(supervision.wait_for_stop(loop, handler))
+        loop.run_until_complete(stop_signals.wait(loop, handler))
 
 
 def _tune_collector() -> None:
--- a/src/cowslipshift/edge/callers.py
+++ b/src/cowslipshift/edge/callers.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import collections
+import select
 from typing import Any
 from typing import TYPE_CHECKING
 
@@ -27,6 +28,10 @@
 """Bytes of answers that wait for those in front of them on one connection.
 While there are more, no further request is begun ahead of its turn."""
 
+NEW_CONNECTION_WAIT_S = 0.5
+"""How long a connection that was just accepted is left open for its first
+request when the host stops."""
+
 HEAD_END = b"\r\n\r\n"
 
 _log = logs.EventLog("caller")
@@ -78,7 +83,13 @@
     turn, so the answers leave in order.
     """
 
-    __slots__ = ("_caller_server", "_is_last_read", "_is_reading", "_queue")
+    __slots__ = (
+        "_caller_server",
+        "_is_last_read",
+        "_is_reading",
+        "_opened_s",
+        "_queue",
+    )
 
     def __init__(self, server: CallerServer, **options: Any) -> None:
         super().__init__(server, **options)
@@ -86,13 +97,32 @@
         self._queue: collections.deque[CallerRequest] = collections.deque()
         self._is_last_read = False
         self._is_reading = False
+        self._opened_s: float | None = server.clock.now()
+
+    def may_close(self, now: float) -> bool:
+        """Tell whether no request is being read, handled or answered.
 
-    @property
-    def is_idle(self) -> bool:
-        """Whether no request is being read, handled or answered."""
+        A connection without a request so far may be so new that its first
+        one is on the way.
+        """
         waiter = self._waiter
         is_waiting = waiter is not None and not waiter.done()
-        return is_waiting and not self._is_reading
+        if not is_waiting or self._is_reading:
+            return False
+        if self._opened_s is not None and (
+            now - self._opened_s < NEW_CONNECTION_WAIT_S
+        ):
+            return False
+        return not self._has_unread()
+
+    def _has_unread(self) -> bool:
+        """Tell whether bytes have arrived that were not read yet."""
+        if self.transport is None:
+            return False
+        connection = self.transport.get_extra_info("socket")
+        if connection is None or connection.fileno() < 0:
+            return False
+        return has_arrived(connection.fileno())
 
     def data_received(self, data: bytes) -> None:
         """Note when requests arrive, and begin those that have to wait.
@@ -112,6 +142,8 @@
         if data:
             self._is_reading = not arrived and not self._request_in_progress
         now = self._caller_server.clock.now()
+        if data:
+            self._opened_s = None
         for message, payload in arrived:
             if isinstance(message, web_protocol._ErrInfo):
                 self._is_last_read = True
@@ -248,12 +280,22 @@
 
         Connections are left until what was written to them has been sent.
         """
+        now = self.clock.now()
         for connection in self.connections:
-            if isinstance(connection, CallerConnection) and connection.is_idle:
+            if isinstance(
+                connection, CallerConnection
+            ) and connection.may_close(now):
                 connection.force_close()
         return len(self.connections)
 
 
+def has_arrived(descriptor: int) -> bool:
+    """Tell whether bytes, or a new connection, wait at a socket."""
+    poll = select.poll()
+    poll.register(descriptor, select.POLLIN)
+    return bool(poll.poll(0))
+
+
 def _split_behind_heads(data: bytes) -> list[bytes]:
     """Split received bytes behind each end of a head that they may hold."""
     parts = data.split(HEAD_END)
--- a/src/cowslipshift/edge/main.py
+++ b/src/cowslipshift/edge/main.py
@@ -22,6 +22,7 @@
 
 def main() -> None:
     """Run a host until SIGTERM or SIGINT; exit with 2 on invalid settings."""
+    stop_signals = supervision.StopSignals()
     try:
         settings, bounds = platform_settings.read_settings(os.environ)
     except exceptions.PlatformSettingsError as error:
@@ -34,13 +35,13 @@
         log_config=False,
         pool_size=1,
         loop_factory=uvloop.new_event_loop,
-        catch_signals=(signal.SIGTERM, signal.SIGINT),
+        catch_signals=supervision.STOP_SIGNALS,
         shutdown_timeout=bounds.grace_s + SHUTDOWN_MARGIN_S,
     ) as loop:
         loop.add_signal_handler(
             signal.SIGHUP, _reload, logs.EventLog("service")
         )
-        loop.run_until_complete(supervision.wait_for_stop(loop, handler))
+        loop.run_until_complete(stop_signals.wait(loop, handler))
 
 
 def _reload(log: logs.EventLog) -> None:
--- a/src/cowslipshift/edge/service.py
+++ b/src/cowslipshift/edge/service.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import secrets
+import socket
 import time
 from typing import Any
 from typing import TYPE_CHECKING
@@ -120,6 +121,7 @@
         await asyncio.sleep(
             min(ACCEPT_WHILE_LEAVING_S, self.bounds.grace_s / 2)
         )
+        await self._accept_waiting_callers(until_s)
         for site in list(self._caller_runner.sites):
             await site.stop()
         while self._caller_server.close_idle_connections():
@@ -130,6 +132,17 @@
         await self._close()
         self._log.info("stopped", unfinished=self._handler.in_flight)
 
+    async def _accept_waiting_callers(self, until_s: float) -> None:
+        """Wait until all connections to callers have been accepted.
+
+        Those that wait at a socket that is closed are reset. If the process
+        stood still until now, that may be many.
+        """
+        loop = asyncio.get_running_loop()
+        descriptor = self._caller_socket.fileno()
+        while loop.time() < until_s and callers.has_arrived(descriptor):
+            await asyncio.sleep(0)
+
     async def abort(self) -> None:
         """Stop without telling other hosts, as a crash does; for tests."""
         self._registration.abandon_lease()
@@ -270,7 +283,14 @@
         self._caller_runner = web.ServerRunner(
             self._caller_server, shutdown_timeout=CLOSE_TIMEOUT_S
         )
-        await self._run_site(self._caller_runner, listen.front)
+        await self._caller_runner.setup()
+        ip, port = addresses.split_address(listen.front)
+        self._caller_socket = socket.create_server((ip, port), backlog=BACKLOG)
+        self._caller_socket.setblocking(False)
+        await web.SockSite(
+            self._caller_runner, self._caller_socket, backlog=BACKLOG
+        ).start()
+        self._runners.append(self._caller_runner)
 
     async def _listen(
         self, application: web.Application, address: str
--- a/src/cowslipshift/supervision.py
+++ b/src/cowslipshift/supervision.py
@@ -16,6 +16,8 @@
     from collections.abc import Callable
     from collections.abc import Coroutine
 
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+
 RESTART_DELAY_S = 0.2
 MAX_FAILURES = 5
 FAILURE_WINDOW_S = 10.0
@@ -71,15 +73,30 @@
             await asyncio.sleep(RESTART_DELAY_S)
 
 
-async def wait_for_stop(
-    loop: asyncio.AbstractEventLoop, handler: logs.LineHandler
-) -> None:
-    """Flush log lines at an interval until SIGTERM or SIGINT arrives."""
-    stopped = asyncio.Event()
-    for signal_number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(signal_number, stopped.set)
-    while not stopped.is_set():
-        handler.flush()
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(logs.FLUSH_INTERVAL_S):
-                await stopped.wait()
+class StopSignals:
+    """The signals that stop the process, from its first line to its end.
+
+    By default they end a process at once, also one that has not yet begun to
+    wait for them, and one that is already stopping gracefully.
+    """
+
+    def __init__(self) -> None:
+        self._has_arrived = False
+        for signal_number in STOP_SIGNALS:
+            signal.signal(signal_number, self._note)
+
+    async def wait(
+        self, loop: asyncio.AbstractEventLoop, handler: logs.LineHandler
+    ) -> None:
+        """Flush log lines at an interval until a signal arrives."""
+        stopped = asyncio.Event()
+        for signal_number in STOP_SIGNALS:
+            loop.add_signal_handler(signal_number, stopped.set)
+        while not stopped.is_set() and not self._has_arrived:
+            handler.flush()
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(logs.FLUSH_INTERVAL_S):
+                    await stopped.wait()
+
+    def _note(self, *_: object) -> None:
+        self._has_arrived = True
--- /dev/null
+++ b/tests/edge/test_planned_stop.py
@@ -0,0 +1,179 @@
+"""Planned stops of a host while callers send (LOST)."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import contextlib
+import signal
+from typing import TYPE_CHECKING
+
+import pytest
+from tests.edge import daemons
+from tests.edge import rawcaller
+
+from cowslipshift.standins import platformfleet
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+    from collections.abc import Callable
+
+SERVICE_S = 0.1
+CALLERS = 16
+CONNECT_LIMIT_S = 1.0
+"""How long callers wait for a connection."""
+
+ANSWERED = {"200", "504"}
+"""On a busy machine the servers, which run in the test's process, may be late;
+what counts here is that each request has its answer."""
+
+
+@pytest.fixture
+async def fleet() -> AsyncIterator[platformfleet.PlatformFleet]:
+    async with platformfleet.PlatformFleet(backends=8) as started:
+        for backend in started.backends.values():
+            backend.behaviour.service_s = SERVICE_S
+            backend.behaviour.warm_factor = 1.0
+        yield started
+
+
+@pytest.fixture
+async def daemon(fleet, tmp_path) -> AsyncIterator[daemons.Daemon]:
+    started = daemons.Daemon(fleet)
+    await started.start(tmp_path, "stopped", "north-a")
+    await started.wait_ready()
+    yield started
+    if started.process.returncode is None:
+        started.process.kill()
+        await started.process.wait()
+
+
+class Callers:
+    """Callers that send to one host until they are told to stop.
+
+    Attributes:
+        outcomes: How requests ended: a status, "refused" if there was no
+            connection, "crossed" if the host closed a kept connection on
+            which it had answered before, "cut" otherwise.
+    """
+
+    def __init__(self, daemon: daemons.Daemon) -> None:
+        self.outcomes: collections.Counter[str] = collections.Counter()
+        self.is_done = False
+        self._daemon = daemon
+        self._number = 0
+
+    async def send_on_new_connections(self) -> None:
+        while not self.is_done:
+            try:
+                async with asyncio.timeout(CONNECT_LIMIT_S):
+                    caller = await rawcaller.RawCaller(
+                        self._daemon
+                    ).__aenter__()
+            except (OSError, TimeoutError):
+                self.outcomes["refused"] += 1
+                await asyncio.sleep(0.02)
+                continue
+            await self._ask(caller, "cut")
+            caller.abort()
+
+    async def send_on_kept_connections(self) -> None:
+        while not self.is_done:
+            with contextlib.suppress(OSError):
+                async with rawcaller.RawCaller(self._daemon) as caller:
+                    broken = "cut"
+                    while not self.is_done:
+                        if await self._ask(caller, broken):
+                            break
+                        broken = "crossed"
+                        await asyncio.sleep(0.01)
+            await asyncio.sleep(0.02)
+
+    async def _ask(self, caller: rawcaller.RawCaller, broken: str) -> bool:
+        """Send a request; return whether the connection is at its end."""
+        self._number += 1
+        number = self._number
+        caller.send(
+            rawcaller.build_request(
+                f"s{number}", number % 3 == 0, str(number % 40)
+            )
+        )
+        try:
+            answer = await caller.read_answer()
+        except (OSError, EOFError, TimeoutError):
+            self.outcomes[broken] += 1
+            return True
+        self.outcomes[str(answer.status)] += 1
+        return answer.closes
+
+
+async def stop_under_load(
+    daemon: daemons.Daemon,
+    send: Callable[[Callers], object],
+    signals: int = 1,
+) -> collections.Counter[str]:
+    callers = Callers(daemon)
+    tasks = [asyncio.create_task(send(callers)) for _ in range(CALLERS)]
+    await asyncio.sleep(0.6)
+    for _ in range(signals - 1):
+        daemon.process.send_signal(signal.SIGTERM)
+        await asyncio.sleep(0.3)
+    assert await daemon.stop() == 0
+    await asyncio.sleep(0.1)
+    callers.is_done = True
+    await asyncio.gather(*tasks)
+    assert callers.outcomes["200"] > 0
+    return callers.outcomes
+
+
+# Guards against connections that were just accepted, or wait to be, when the
+# host stops listening.
+async def test_stop_cuts_no_request_on_new_connections(daemon) -> None:
+    outcomes = await stop_under_load(daemon, Callers.send_on_new_connections)
+    assert set(outcomes) <= ANSWERED | {"refused"}
+
+
+async def test_stop_cuts_no_request_on_kept_connections(daemon) -> None:
+    outcomes = await stop_under_load(daemon, Callers.send_on_kept_connections)
+    assert set(outcomes) <= ANSWERED | {"refused", "crossed"}
+
+
+async def test_second_sigterm_hurries_nothing(daemon) -> None:
+    outcomes = await stop_under_load(
+        daemon, Callers.send_on_new_connections, signals=2
+    )
+    assert set(outcomes) <= ANSWERED | {"refused"}
+
+
+async def test_stop_while_the_store_is_silent_answers_all(
+    fleet, daemon
+) -> None:
+    fleet.store.faults.silent = True
+    outcomes = await stop_under_load(daemon, Callers.send_on_new_connections)
+    assert set(outcomes) <= ANSWERED | {"refused"}
+
+
+async def test_half_a_request_is_answered_when_the_rest_comes(daemon) -> None:
+    request = rawcaller.build_request("h", True, body=b"x" * 100)
+    async with rawcaller.RawCaller(daemon) as caller:
+        caller.send(request[:-60])
+        await asyncio.sleep(0.2)
+        daemon.process.send_signal(signal.SIGTERM)
+        await asyncio.sleep(0.3)
+        caller.send(request[-60:])
+        answer = await caller.read_answer()
+        assert (answer.status, answer.closes) == (200, True)
+    assert await daemon.stop() == 0
+
+
+@pytest.mark.parametrize("delay_s", [0.0, 0.3, 0.6])
+async def test_stop_in_the_first_second_ends_in_time(
+    fleet, tmp_path, delay_s
+) -> None:
+    started = daemons.Daemon(fleet)
+    await started.start(tmp_path, "early", "north-a")
+    await asyncio.sleep(delay_s)
+    async with asyncio.timeout(10.0):
+        status = await started.stop()
+    assert status in (0, -signal.SIGTERM)
+    assert b"Traceback" not in started.log.read_bytes()
