Bound how long a host that stops accepts callers that wait

Cause: read as a newcomer: callers that keep coming could have used up the time left for requests that run. Now 0.5 s at most. A function is renamed after what it tells (_exceeds_joining_share); nothing else changed.

Checked: tests/steering/test_accounts.py and tests/edge/test_planned_stop.py pass.

--- a/src/cowslipshift/edge/callers.py
+++ b/src/cowslipshift/edge/callers.py
@@ -97,6 +97,7 @@
         self._queue: collections.deque[CallerRequest] = collections.deque()
         self._is_last_read = False
         self._is_reading = False
+        # ``None`` once bytes have arrived.
         self._opened_s: float | None = server.clock.now()
 
     def may_close(self, now: float) -> bool:
--- a/src/cowslipshift/edge/service.py
+++ b/src/cowslipshift/edge/service.py
@@ -64,6 +64,10 @@
 """Requests that still run this long before the platform kills the process
 are abandoned."""
 
+ACCEPT_WAITING_S = 0.5
+"""How long a host that stops goes on accepting connections that wait, so that
+callers that keep coming do not use up the time for requests that run."""
+
 CLOSE_TIMEOUT_S = 0.1
 DRAIN_POLL_INTERVAL_S = 0.05
 IDLE_CONNECTION_S = 75.0
@@ -121,7 +125,7 @@
         await asyncio.sleep(
             min(ACCEPT_WHILE_LEAVING_S, self.bounds.grace_s / 2)
         )
-        await self._accept_waiting_callers(until_s)
+        await self._accept_waiting_callers()
         for site in list(self._caller_runner.sites):
             await site.stop()
         while self._caller_server.close_idle_connections():
@@ -132,13 +136,14 @@
         await self._close()
         self._log.info("stopped", unfinished=self._handler.in_flight)
 
-    async def _accept_waiting_callers(self, until_s: float) -> None:
+    async def _accept_waiting_callers(self) -> None:
         """Wait until all connections to callers have been accepted.
 
         Those that wait at a socket that is closed are reset. If the process
         stood still until now, that may be many.
         """
         loop = asyncio.get_running_loop()
+        until_s = loop.time() + ACCEPT_WAITING_S
         descriptor = self._caller_socket.fileno()
         while loop.time() < until_s and callers.has_arrived(descriptor):
             await asyncio.sleep(0)
--- a/src/cowslipshift/steering/limiters.py
+++ b/src/cowslipshift/steering/limiters.py
@@ -241,7 +241,7 @@
         """
         self._record_demand(now)
         if self._limit > 0.0:
-            if not self._may_admit_blindly(now, liveness):
+            if self._exceeds_joining_share(now, liveness):
                 return MIN_RETRY_AFTER_S
             limit = self.measure_limit(now)
             used = self.measure_used(now, liveness)
@@ -269,13 +269,18 @@
         self._unreported += 1
         return 0.0
 
-    def _may_admit_blindly(self, now: float, liveness: PeerLiveness) -> bool:
-        """Tell whether the counts of the others matter not, or are known."""
+    def _exceeds_joining_share(
+        self, now: float, liveness: PeerLiveness
+    ) -> bool:
+        """Tell whether a host that has just joined has used its even share.
+
+        It may not know yet what the other hosts have admitted.
+        """
         elapsed_s = now - self._started_s
         if elapsed_s >= JOIN_BLIND_S or liveness.hosts <= 1:
-            return True
+            return False
         even_rate = self._limit / self._window_s / liveness.hosts
-        return self._admitted.total < even_rate * elapsed_s + self._rounding
+        return self._admitted.total >= even_rate * elapsed_s + self._rounding
 
     @property
     def is_filling(self) -> bool:
