Tell for how long a replica has had no proof of being current

A host that hears nothing and one that is current looked the same in logs and metrics. Answers of the store and heartbeats, which now carry the age of their host's proof, say up to when a replica was current; cowslipshift_replica_age_seconds shows it, and store_call_failed tells each read or watch without an answer. Nothing is decided by it yet.

--- a/src/cowslipshift/edge/heartbeats.py
+++ b/src/cowslipshift/edge/heartbeats.py
@@ -212,6 +212,9 @@
                     now,
                 )
         self._watcher.record_heartbeat(heartbeat)
+        self._watcher.record_proof(
+            heartbeat.revision, now - heartbeat.current_age_s
+        )
 
     def _build(self, now: float, is_urgent: bool) -> messages.Heartbeat:
         own = self._membership.own
@@ -241,4 +244,5 @@
                 self._membership.get_timeout_factor(),
             ),
             reports=reports,
+            current_age_s=self._watcher.measure_age(now),
         )
--- a/src/cowslipshift/edge/messages.capnp
+++ b/src/cowslipshift/edge/messages.capnp
@@ -29,6 +29,7 @@
   rollouts @6 :List(RolloutCounts);
   sequence @7 :UInt32;
   isUrgent @8 :Bool;
+  currentAgeMs @9 :UInt32 = 4294967295;
 }
 
 struct Passage {
--- a/src/cowslipshift/edge/messages.py
+++ b/src/cowslipshift/edge/messages.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import pathlib
 from typing import Any
 
@@ -20,6 +21,8 @@
 
 
 MS_PER_S = 1000
+UNKNOWN_AGE_MS = 2**32 - 1
+"""Stands for an age that is unknown or too large to be sent."""
 
 
 class RolloutReport(msgspec.Struct, frozen=True):
@@ -48,6 +51,7 @@
         is_urgent: Whether a relay should pass it on ahead of its interval.
         revision: Store revision that the host's replica has reached.
         is_store_reachable: Whether the store answered its last call.
+        current_age_s: Seconds since the replica was last proven current.
         usages: Admitted requests and demand by account.
         reports: Counts of each roll-out.
     """
@@ -61,6 +65,7 @@
     is_store_reachable: bool
     usages: list[limiters.Usage]
     reports: list[RolloutReport]
+    current_age_s: float = math.inf
 
 
 class EncodedHeartbeat(msgspec.Struct, frozen=True):
@@ -110,6 +115,7 @@
         isLeaving=heartbeat.is_leaving,
         isUrgent=heartbeat.is_urgent,
         hasStore=heartbeat.is_store_reachable,
+        currentAgeMs=_encode_age(heartbeat.current_age_s),
         usages=[
             {"account": u.account, "admitted": u.admitted, "demand": u.demand}
             for u in heartbeat.usages
@@ -167,6 +173,7 @@
                 )
                 for r in reader.rollouts
             ],
+            current_age_s=_decode_age(reader.currentAgeMs),
         )
     except (capnp.KjException, packing.PackingError, ValueError) as error:
         raise exceptions.PeerError(
@@ -174,6 +181,16 @@
         ) from error
 
 
+def _encode_age(age_s: float) -> int:
+    if not 0.0 <= age_s < UNKNOWN_AGE_MS / MS_PER_S:
+        return UNKNOWN_AGE_MS
+    return math.ceil(age_s * MS_PER_S)
+
+
+def _decode_age(age_ms: int) -> float:
+    return math.inf if age_ms == UNKNOWN_AGE_MS else age_ms / MS_PER_S
+
+
 def encode_bundle(bundle: Bundle) -> bytes:
     """Encode a bundle; its heartbeats are packed already."""
     message = _schema.Bundle.new_message(
--- a/src/cowslipshift/edge/metrics.py
+++ b/src/cowslipshift/edge/metrics.py
@@ -47,6 +47,10 @@
                     "cowslipshift_behind_seconds",
                     "Time for which a newer revision has been known of.",
                 ),
+                (
+                    "cowslipshift_replica_age_seconds",
+                    "Time since the replica was last proven current.",
+                ),
             )
         }
         self._latency = aioprometheus.Histogram(
@@ -111,7 +115,7 @@
         self._add("cowslipshift_peer_bytes_total", size, direction="fetched")
 
     def set_replica_state(
-        self, revision: int, version: int, behind_s: float
+        self, revision: int, version: int, behind_s: float, age_s: float
     ) -> None:
         """Record how far this host has followed the store.
 
@@ -119,11 +123,13 @@
             revision: Store revision of the replica.
             version: Version of the configuration in force.
             behind_s: Seconds for which a newer revision has been known of.
+            age_s: Seconds since the replica was last proven current.
         """
         for name, value in (
             ("cowslipshift_store_revision", revision),
             ("cowslipshift_config_version", version),
             ("cowslipshift_behind_seconds", behind_s),
+            ("cowslipshift_replica_age_seconds", age_s),
         ):
             self._gauges[name].set({}, value)
 
--- a/src/cowslipshift/edge/service.py
+++ b/src/cowslipshift/edge/service.py
@@ -354,10 +354,12 @@
         return web.Response(body=messages.encode_changes(found))
 
     async def _serve_metrics(self, request: web.Request) -> web.Response:
+        now = self._clock.now()
         self._metrics.set_replica_state(
             self.revision,
             self._balancer.version,
-            self._watcher.measure_behind(self._clock.now()),
+            self._watcher.measure_behind(now),
+            self._watcher.measure_age(now),
         )
         content, headers = self._metrics.render()
         return web.Response(body=content, headers=headers)
--- a/src/cowslipshift/edge/watcher.py
+++ b/src/cowslipshift/edge/watcher.py
@@ -16,6 +16,7 @@
 from cowslipshift.coordination import hashing
 from cowslipshift.edge import exceptions
 from cowslipshift.edge import replica as replicas
+from cowslipshift.steering import freshness
 from cowslipshift.store import exceptions as store_exceptions
 from cowslipshift.store import interface
 from cowslipshift.telemetry import logs
@@ -103,6 +104,7 @@
         self._peers_reaching_store: dict[str, bool] = {}
         self._peer_revisions: dict[str, int] = {}
         self._behind_since_s: float | None = None
+        self._freshness = freshness.Freshness()
         self._log = logs.EventLog("watcher")
 
     async def run(self) -> None:
@@ -113,18 +115,41 @@
             ):
                 await asyncio.sleep(IDLE_POLL_INTERVAL_S)
                 continue
+            started_s = self._clock.now()
             try:
                 await self._read_or_watch()
             except store_exceptions.HistoryGoneError:
                 self._log.info("history_gone", revision=self.replica.revision)
                 self._needs_snapshot = True
             except store_exceptions.StoreError as error:
+                now = self._clock.now()
+                self._log.notice(
+                    "store_call_failed",
+                    reason=error,
+                    took_ms=(now - started_s) * 1000,
+                    revision=self.replica.revision,
+                    replica_age_s=self.measure_age(now),
+                )
                 self._record_store_failure(error)
                 await asyncio.sleep(STORE_RETRY_DELAY_S)
 
     def request_reread(self) -> None:
         """Read all items again, as the replica may be out of date."""
         self._needs_snapshot = True
+        self._freshness.reset()
+
+    def record_proof(self, revision: int, as_of_s: float) -> None:
+        """Record that the store was at a revision, and no later one.
+
+        Args:
+            revision: The revision.
+            as_of_s: Time at which it was proven.
+        """
+        self._freshness.record_proof(revision, as_of_s, self.replica.revision)
+
+    def measure_age(self, now: float) -> float:
+        """Return the seconds since the replica was last proven current."""
+        return self._freshness.measure_age(now)
 
     def record_heartbeat(self, heartbeat: messages.Heartbeat) -> None:
         """Record the store revision that another host has reached.
@@ -222,6 +247,7 @@
             self._notify(
                 self.replica.apply_snapshot(snapshot.items, snapshot.revision)
             )
+            self.record_proof(snapshot.revision, started_s)
             return
         self._needs_changes = False
         found = await self._store.watch_prefix(
@@ -229,6 +255,7 @@
         )
         self._record_store_success()
         self._notify(self.replica.apply_changes(found.items, found.revision))
+        self.record_proof(found.revision, self._clock.now())
         if found.items:
             await asyncio.sleep(BATCH_PAUSE_S)
 
@@ -274,6 +301,7 @@
         self._notify(changed)
 
     def _notify(self, changed: list[interface.Item]) -> None:
+        self._freshness.advance(self.replica.revision)
         self._behind_since_s = (
             self._clock.now() if self._list_ahead() else None
         )
--- a/tests/edge/test_heartbeats.py
+++ b/tests/edge/test_heartbeats.py
@@ -37,10 +37,18 @@
     def __init__(self) -> None:
         self.replica = replicas.StoreReplica()
         self.heard: list[messages.Heartbeat] = []
+        self.proofs: list[tuple[int, float]] = []
+        self.current_s = 0.0
 
     def record_heartbeat(self, heartbeat: messages.Heartbeat) -> None:
         self.heard.append(heartbeat)
 
+    def record_proof(self, revision: int, as_of_s: float) -> None:
+        self.proofs.append((revision, as_of_s))
+
+    def measure_age(self, now: float) -> float:
+        return now - self.current_s
+
 
 class Fleet:
     """Hosts whose datagrams are delivered at once, unless they are lost.
