Let hosts without proof of being current watch the store themselves

Callers were refused by an older configuration after its bound. A host that heard nothing took its replica for current: whoever should have told it was believed to be alive for 5.6 s (two relays that fail together, a data centre that hears no other one), longer than the 3 s that operators allow.

Proofs of being current, which heartbeats carry since, now decide: a host whose last proof is older than 0.6 of the bound watches the store until it has one. A watch without changes ends after half of that time, so that a watcher has proofs to pass on. Longer detection of failures is left as it is; shorter time-outs would only have moved the hole.

--- a/src/cowslipshift/edge/service.py
+++ b/src/cowslipshift/edge/service.py
@@ -75,6 +75,7 @@
 request arrives on it."""
 
 BACKLOG = 512
+MS_PER_S = 1000.0
 INCARNATIONS_PER_MS = 1000
 
 
@@ -236,6 +237,9 @@
             self._apply_item,
             self._record_store_outage,
             self._send_revision,
+            self.bounds.config_apply_ms
+            / MS_PER_S
+            * watchers.MAX_AGE_BOUND_FRACTION,
         )
         self._registration = registration.HostRegistration(
             self._own, self._store, self._watcher
--- a/src/cowslipshift/edge/watcher.py
+++ b/src/cowslipshift/edge/watcher.py
@@ -5,6 +5,11 @@
 preferably a near one. A host that hears of none watches the store itself; one
 that gets no answer asks the store once for what came after its revision, and
 other hosts meanwhile.
+
+That a host hears of nothing new does not mean that there is nothing: whoever
+should tell it may be gone, or wait on a connection that is silent. A host whose
+replica has not been proven current for some time watches the store itself
+until it has.
 """
 
 from __future__ import annotations
@@ -30,19 +35,23 @@
     from cowslipshift.steering import model
     from cowslipshift.steering import overlay as overlays
 
-WATCH_WAIT_S = 2.0
-"""Bounds the time until a watch that no longer delivers is noticed."""
+MAX_AGE_BOUND_FRACTION = 0.6
+"""Fraction of the time within which a change has to be in force, for which a
+replica may be without proof of being current; the rest is for the reading."""
+
+DEFAULT_MAX_AGE_S = 1.2
+"""Without proof for this long, a host watches the store itself."""
+
+WATCH_WAIT_FRACTION = 0.5
+"""Fraction of that time after which a watch without changes ends, which is a
+proof."""
 
 BATCH_PAUSE_S = 0.15
 """Pause between two watch calls, so that one call gets a burst of changes."""
 
-IDLE_POLL_INTERVAL_S = 0.2
+IDLE_POLL_INTERVAL_S = 0.1
 SOURCE_POLL_INTERVAL_S = 0.1
 STORE_RETRY_DELAY_S = 0.3
-STORE_LOSS_MEMORY_S = 3.0
-"""How long a host that could not reach the store is taken to be cut off from
-it."""
-
 ALL_KEYS = ""
 
 
@@ -71,6 +80,8 @@
         on_change: Called with each item that changed.
         on_store_failure: Called each time a call to the store fails.
         on_revision: Called when changes were applied to the replica.
+        max_age_s: Time without proof of being current after which the host
+            watches the store itself.
 
     Attributes:
         replica: This host's replica of the store.
@@ -87,6 +98,7 @@
         on_change: Callable[[interface.Item], None],
         on_store_failure: Callable[[], None],
         on_revision: Callable[[], None],
+        max_age_s: float = DEFAULT_MAX_AGE_S,
     ) -> None:
         self.replica = replicas.StoreReplica()
         self.is_store_reachable = False
@@ -98,6 +110,7 @@
         self._on_change = on_change
         self._on_store_failure = on_store_failure
         self._on_revision = on_revision
+        self._max_age_s = max_age_s
         self._needs_snapshot = True
         self._needs_changes = False
         self._is_fetching = False
@@ -110,12 +123,10 @@
     async def run(self) -> None:
         """Follow the store until cancelled."""
         while True:
-            if not (
-                self._needs_snapshot or self._needs_changes or self.is_watching
-            ):
+            started_s = self._clock.now()
+            if not self._should_call_store(started_s):
                 await asyncio.sleep(IDLE_POLL_INTERVAL_S)
                 continue
-            started_s = self._clock.now()
             try:
                 await self._read_or_watch()
             except store_exceptions.HistoryGoneError:
@@ -231,6 +242,14 @@
         ranked = hashing.rank_members(f"watch|{own.region}", relays or names)
         return ranked[0] == own.name
 
+    def _should_call_store(self, now: float) -> bool:
+        return (
+            self._needs_snapshot
+            or self._needs_changes
+            or self.measure_age(now) > self._max_age_s
+            or self.is_watching
+        )
+
     async def _read_or_watch(self) -> None:
         if self._needs_snapshot:
             started_s = self._clock.now()
@@ -251,7 +270,9 @@
             return
         self._needs_changes = False
         found = await self._store.watch_prefix(
-            ALL_KEYS, self.replica.revision, WATCH_WAIT_S
+            ALL_KEYS,
+            self.replica.revision,
+            self._max_age_s * WATCH_WAIT_FRACTION,
         )
         self._record_store_success()
         self._notify(self.replica.apply_changes(found.items, found.revision))
