--- a/src/cowslipshift/edge/watcher.py
+++ b/src/cowslipshift/edge/watcher.py
@@ -7,9 +7,9 @@
 other hosts meanwhile.
 
 That a host hears of nothing new does not mean that there is nothing: whoever
-should tell it may be gone, or wait on a connection that is silent. A host whose
-replica has not been proven current for some time watches the store itself
-until it has.
+should tell it may be gone, or wait on a connection that is silent. A host
+whose replica has not been proven current for some time watches the store
+itself until it has.
 """
 
 from __future__ import annotations
