Open a connection for each call to the store and to other hosts

Callers were refused by an older configuration after its bound. The platform states that open connections may fall silent for good. A watch on such a connection ended after its time limit, and the next one was sent on another connection of the pool, often silent too (that of the last renewal): 3 s more without changes, on the hosts that watch for all others. Requests to other hosts lost their 0.6 s alike.

No connection is used twice now, so that only a call that is under way when connections fall silent can be lost. Weighed: a shorter idle time leaves the hole; keep-alive probes need two seconds. A connection costs a round trip of 2 or 24 ms and no price of the platform.

--- a/src/cowslipshift/connections.py
+++ b/src/cowslipshift/connections.py
@@ -1,4 +1,9 @@
-"""Client connections that take no bytes for an answer that nobody awaits."""
+"""Client connections that are not trusted for longer than they are watched.
+
+They take no bytes for an answer that nobody awaits. Between the hosts, and to
+the store, none is used twice: whatever is between the two ends may have lost
+track of a connection that is idle, and bytes sent on it are lost silently.
+"""
 
 from __future__ import annotations
 
@@ -67,3 +72,15 @@
     ) -> None:
         super().__init__(limit=0, **options)
         self._factory: Any = functools.partial(connection, loop=self._loop)
+
+
+def open_control_session() -> aiohttp.ClientSession:
+    """Open a session for calls to the store and to other hosts.
+
+    Each call opens a connection, which costs a round trip. On a connection of
+    a pool that has fallen silent it would wait until its time limit.
+    """
+    return aiohttp.ClientSession(
+        connector=GuardedConnector(force_close=True),
+        cookie_jar=aiohttp.DummyCookieJar(),
+    )
--- a/src/cowslipshift/edge/service.py
+++ b/src/cowslipshift/edge/service.py
@@ -9,7 +9,6 @@
 from typing import Any
 from typing import TYPE_CHECKING
 
-import aiohttp
 from aiohttp import web
 import aiomisc
 
@@ -212,10 +211,7 @@
                 settings.node_name,
             ),
         )
-        self._session = aiohttp.ClientSession(
-            connector=connections.GuardedConnector(keepalive_timeout=30.0),
-            cookie_jar=aiohttp.DummyCookieJar(),
-        )
+        self._session = connections.open_control_session()
         self._store = stores.PlatformStore(
             settings.platform.address,
             self._session,
--- a/tests/edge/test_peer_client.py
+++ b/tests/edge/test_peer_client.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-import aiohttp
 from aiohttp import web
 from tests import silentrelay
 
+from cowslipshift import connections
 from cowslipshift.edge import messages
 from cowslipshift.edge import peerclient
 from cowslipshift.standins import portreservations
@@ -29,7 +29,7 @@
     await web.TCPSite(runner, "127.0.0.1", port).start()
     relay = silentrelay.SilentRelay(f"127.0.0.1:{port}")
     await relay.start()
-    async with aiohttp.ClientSession() as session:
+    async with connections.open_control_session() as session:
         client = peerclient.PeerClient(session, lambda outcome, size: None)
         await client.fetch_changes(relay.address, 1)
         relay.silence()
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -5,12 +5,12 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-import aiohttp
 from aiohttp import web
 import pytest
 from tests import silentrelay
 
 from cowslipshift import clock as clocks
+from cowslipshift import connections
 from cowslipshift.platform import names
 from cowslipshift.platform import store as stores
 from cowslipshift.standins import platformstore
@@ -39,7 +39,7 @@
         await web.TCPSite(self.runner, "127.0.0.1", port).start()
         self.relay = silentrelay.SilentRelay(f"127.0.0.1:{port}")
         await self.relay.start()
-        self.session = aiohttp.ClientSession()
+        self.session = connections.open_control_session()
         self.client = stores.PlatformStore(
             self.relay.address,
             self.session,
