--- a/src/cowslipshift/platform/names.py
+++ b/src/cowslipshift/platform/names.py
@@ -10,6 +10,7 @@
 INSTANCE_HEADER = "Cowslipshift-Target-Instance"
 LOAD_HEADER = "Cowslipshift-Server-Load"
 NOT_EXECUTED_HEADER = "Cowslipshift-Not-Executed"
+SERVER_LIMIT_HEADER = "Server-Limit"
 COLD_MS_HEADER = "Cowslipshift-Cold-Ms"
 API_KEY_HEADER = "Api-Key"
 
--- a/src/cowslipshift/standins/platformbackend.py
+++ b/src/cowslipshift/standins/platformbackend.py
@@ -33,6 +33,7 @@
         crossed: Answer with the id of another request.
         unsigned: Omit the signature header.
         shed: Reject all requests as not executed.
+        limit: Requests a second that its answers say it takes; none if empty.
     """
 
     service_s: float = 0.03
@@ -43,15 +44,21 @@
     crossed: bool = False
     unsigned: bool = False
     shed: bool = False
+    limit: str = ""
 
 
 class RequestRecord(msgspec.Struct, frozen=True):
-    """One request that the server ran, as it arrived."""
+    """One request that the server ran, as it arrived.
+
+    Attributes:
+        arrived_s: Time of the event loop at which it did.
+    """
 
     id: str
     path: str
     body: bytes
     headers: dict[str, str]
+    arrived_s: float = 0.0
 
 
 class PlatformBackendStandIn:
@@ -141,7 +148,11 @@
         metadata = ingress.parse_request_headers(request.headers)
         self.records.append(
             RequestRecord(
-                metadata.id, request.raw_path, body, dict(request.headers)
+                metadata.id,
+                request.raw_path,
+                body,
+                dict(request.headers),
+                asyncio.get_running_loop().time(),
             )
         )
         if behaviour.silent:
@@ -160,6 +171,8 @@
             else metadata.id,
             names.LOAD_HEADER: f"{self._running},{self._waiting},{self.slots}",
         }
+        if behaviour.limit:
+            headers[names.SERVER_LIMIT_HEADER] = behaviour.limit
         if not behaviour.unsigned:
             headers[names.SIGNATURE_HEADER] = f"{self.identity}.{number}"
         if behaviour.cut_short:
