Reject odd entries of servers, and apply the others whatever one does

It can happen here: a deeply nested value raised RecursionError, which ended the batch of changes, and the configuration behind it was never applied by the host; slots of 400 digits, ports of 5,000 and names of hosts were taken, and a start of 400 digits would not have fitted into a heartbeat.

Entries are now checked for IPv4 numbers, ports from 1 to 65535 and bounded numbers, nesting too deep is a malformed entry, and an unexpected error with one entry is logged without losing the others. 19 of the 20 new cases of the codec and the test of the hosts failed before; a server without slots was rejected already.

--- a/src/cowslipshift/edge/service.py
+++ b/src/cowslipshift/edge/service.py
@@ -367,6 +367,18 @@
     # Changes in the store and messages of other hosts
 
     def _apply_item(self, item: interface.Item) -> None:
+        try:
+            self._apply_translated(item)
+        except Exception as error:
+            # What comes after it in the same batch would not be applied.
+            self._log.error(
+                "entry_failed",
+                key=item.key,
+                revision=item.revision,
+                **logs.describe_error(error),
+            )
+
+    def _apply_translated(self, item: interface.Item) -> None:
         now = self._clock.now()
         try:
             change = translation.translate_item(item)
--- a/src/cowslipshift/platform/codec.py
+++ b/src/cowslipshift/platform/codec.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+import ipaddress
+from typing import Annotated
 from typing import Any
 
 import msgspec
@@ -14,9 +16,18 @@
 from cowslipshift.steering import model
 
 MS_PER_S = 1000.0
+MAX_SLOTS = 100_000
+MAX_COLD_MS = 3_600_000.0
+MAX_WHOLE_NUMBER = 2**53
+"""Larger numbers in an entry are a fault of its writer."""
+
+MAX_PORT = 65_535
 STATES = ("running", "completed", "rolled_back")
 
 
+_WholeNumber = Annotated[int, msgspec.Meta(ge=0, le=MAX_WHOLE_NUMBER)]
+
+
 class _SplitEntry(msgspec.Struct):
     service: str
     weight: float
@@ -77,20 +88,22 @@
     service: str
     zone: str
     version: str
-    concurrency: int
+    concurrency: Annotated[int, msgspec.Meta(ge=1, le=MAX_SLOTS)]
 
 
 class _Status(msgspec.Struct):
     state: str
-    seq: int
-    cold_remaining_ms: float = 0
+    seq: _WholeNumber
+    cold_remaining_ms: Annotated[
+        float, msgspec.Meta(ge=-MAX_COLD_MS, le=MAX_COLD_MS)
+    ] = 0
 
 
 class _Server(msgspec.Struct):
     address: str
     info: _Info
     status: _Status
-    born: int = 0
+    born: _WholeNumber = 0
 
 
 class _Rollout(msgspec.Struct):
@@ -155,17 +168,16 @@
 
     Raises:
         MalformedEntryError: The entry is malformed, or its state, address or
-            slots are unusable.
+            numbers are unusable.
     """
     server = _decode(raw, _Server, f"entry of server '{identity}'")
     if server.status.state not in ("ready", "draining"):
         raise exceptions.MalformedEntryError(
             f"server '{identity}' has an unknown state"
         )
-    host, _, port = server.address.rpartition(":")
-    if not host or not port.isdecimal() or server.info.concurrency < 1:
+    if not _is_address(server.address):
         raise exceptions.MalformedEntryError(
-            f"server '{identity}' has an invalid address or no slots"
+            f"server '{identity}' has an invalid address"
         )
     return model.Backend(
         id=identity,
@@ -175,7 +187,7 @@
         version=server.info.version,
         slots=server.info.concurrency,
         is_draining=server.status.state == "draining",
-        cold_s=server.status.cold_remaining_ms / MS_PER_S,
+        cold_s=max(0.0, server.status.cold_remaining_ms / MS_PER_S),
         started_ms=server.born,
     )
 
@@ -232,10 +244,25 @@
     )
 
 
+def _is_address(text: str) -> bool:
+    """Tell whether a text is ``ip:port`` with an IPv4 number."""
+    host, _, port = text.rpartition(":")
+    try:
+        ipaddress.IPv4Address(host)
+    except ValueError:
+        return False
+    is_number = port.isascii() and port.isdecimal()
+    return (
+        is_number
+        and len(port) <= len(str(MAX_PORT))
+        and 0 < int(port) <= MAX_PORT
+    )
+
+
 def _decode(raw: bytes, kind: type[Any], what: str) -> Any:
     try:
         return msgspec.json.decode(raw, type=kind)
-    except (msgspec.DecodeError, ValueError) as error:
+    except (msgspec.DecodeError, ValueError, RecursionError) as error:
         raise exceptions.MalformedEntryError(
             f"the {what} is malformed: {error}"
         ) from error
--- a/src/cowslipshift/platform/store.py
+++ b/src/cowslipshift/platform/store.py
@@ -188,7 +188,7 @@
 def _decode(raw: bytes, kind: type[Any]) -> Any:
     try:
         return msgspec.json.decode(raw, type=kind)
-    except (msgspec.DecodeError, ValueError) as error:
+    except (msgspec.DecodeError, ValueError, RecursionError) as error:
         raise exceptions.StoreAnswerError(
             f"malformed answer of the store: {error}"
         ) from error
--- a/src/cowslipshift/platform/translation.py
+++ b/src/cowslipshift/platform/translation.py
@@ -64,7 +64,7 @@
         return None
     try:
         return msgspec.json.decode(value, type=model.Member)
-    except (msgspec.DecodeError, ValueError) as error:
+    except (msgspec.DecodeError, ValueError, RecursionError) as error:
         raise exceptions.MalformedEntryError(
             f"malformed entry of a host: {error}"
         ) from error
--- a/src/cowslipshift/steering/rollouts.py
+++ b/src/cowslipshift/steering/rollouts.py
@@ -143,7 +143,7 @@
     """
     try:
         return msgspec.json.decode(raw, type=Stage)
-    except (msgspec.DecodeError, ValueError) as error:
+    except (msgspec.DecodeError, ValueError, RecursionError) as error:
         raise exceptions.StoreAnswerError(
             f"a stage of a roll-out is malformed: {error}"
         ) from error
--- a/tests/edge/test_platform_path.py
+++ b/tests/edge/test_platform_path.py
@@ -369,3 +369,19 @@
     assert values["cowslipshift_config_version"] == 2
     assert 0 < values["cowslipshift_store_revision"] <= fleet.store.revision
     assert values["cowslipshift_behind_seconds"] == 0
+
+
+# Guards against hosts that stop following the store, or end, because of one
+# entry that another writer has left.
+async def test_odd_entry_does_not_hide_what_comes_after_it(fleet) -> None:
+    depth = 100_000
+    fleet.store.put(
+        names.BACKEND_PREFIX + "odd",
+        b'{"later":' + b"[" * depth + b"]" * depth + b"}",
+    )
+    fleet.store.put(names.CONFIG_KEY, platformfleet.build_config(2))
+    await platformfleet.wait_until(
+        lambda: all(host.balancer.version == 2 for host in fleet.hosts)
+    )
+    status, _, _ = await fleet.send_request()
+    assert status == 200
--- a/tests/platform/test_codec.py
+++ b/tests/platform/test_codec.py
@@ -5,6 +5,7 @@
 import msgspec
 import pytest
 
+from cowslipshift import exceptions as base_exceptions
 from cowslipshift.platform import codec
 from cowslipshift.platform import exceptions
 from cowslipshift.platform import ingress
@@ -192,3 +193,59 @@
     limits = "[limits]\ncpu_share = 0.86\nlink_mbps = 12.5\n"
     assert settings.parse_settings(text)[0].limits.link_mbps == 0.0
     assert settings.parse_settings(text + limits)[0].limits.link_mbps == 12.5
+
+
+DEEP = b"[" * 100_000 + b"]" * 100_000
+HUGE = b"9" * 400
+
+
+def build_odd_entry(old: bytes, new: bytes) -> bytes:
+    """Return the entry of a server with some bytes replaced."""
+    backend = platformbackend.PlatformBackendStandIn("s1", 3)
+    entry = backend.build_entry("10.0.0.1:80", "sheets", "north-a")
+    assert old in entry
+    return entry.replace(old, new)
+
+
+# Guards against an entry of another writer that ends the reading of all.
+@pytest.mark.parametrize(
+    ("old", "new"),
+    [
+        (b'"born":1', b'"born":1,"later":' + DEEP),
+        (b'"born":1', b'"born":' + HUGE),
+        (b'"born":1', b'"born":-1'),
+        (b'"concurrency":3', b'"concurrency":' + HUGE),
+        (b'"concurrency":3', b'"concurrency":1000000000000000000'),
+        (b'"concurrency":3', b'"concurrency":0'),
+        (b'"seq":1', b'"seq":' + HUGE),
+        (b'"cold_remaining_ms":0', b'"cold_remaining_ms":1e308'),
+        (b'"cold_remaining_ms":0', b'"cold_remaining_ms":-1e308'),
+        (b":80", b":0"),
+        (b":80", b":99999"),
+        (b":80", b":" + HUGE * 13),
+        (b":80", ":\u0664\u0660".encode()),
+        (b"10.0.0.1:80", b"10.0.0.1\\r\\nHost: x:80"),
+        (b"10.0.0.1:80", b"name.example:80"),
+    ],
+    ids=range(15),
+)
+def test_odd_entry_of_a_server_is_rejected(old, new) -> None:
+    with pytest.raises(exceptions.MalformedEntryError):
+        codec.decode_backend("s1", build_odd_entry(old, new))
+
+
+@pytest.mark.parametrize(
+    "key",
+    [
+        names.CONFIG_KEY,
+        names.BACKEND_PREFIX + "s1",
+        names.ROLLOUT_PREFIX + "sheets",
+        names.STAGE_PREFIX + "sheets",
+        names.MEMBER_PREFIX + "h1",
+    ],
+)
+def test_deeply_nested_entry_is_rejected(key) -> None:
+    with pytest.raises(base_exceptions.CowslipshiftError):
+        translation.translate_item(
+            interface.Item(key, b'{"later":' + DEEP + b"}", 1)
+        )
