Answer every request that a host takes while it leaves

It can happen here: a request of 4 s of work taken 2.8 s after SIGTERM with a grace of 6 s was passed on and its connection closed at 5.5 s; one that was sent before SIGTERM and ran past the grace was closed alike, idempotent or not.

A host that leaves now refuses at once, 2.5 s after it was told to stop, what its route allows to run past the time that is left, before anything is sent, so that 'not run' is true and the caller goes to another host. What still runs at the end is answered 504 before the connections are closed. Both tests failed before with a connection that ended without an answer.

--- a/src/cowslipshift/edge/handler.py
+++ b/src/cowslipshift/edge/handler.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from typing import TYPE_CHECKING
 
 from aiohttp import web
@@ -22,6 +23,11 @@
 """Time kept back from the deadline for writing the answer."""
 
 NOT_READY_RETRY_AFTER_S = 0.5
+LEAVING_RETRY_AFTER_S = 0.1
+LEAVING_ACCEPT_S = 2.5
+"""How long a host that leaves takes requests that may not end in time. Callers
+learn within that time that it leaves."""
+
 MAX_URL_BYTES = 16_384
 
 
@@ -48,7 +54,26 @@
         self._balancer = deps.balancer
         self._on_urgent = on_urgent
         self._log = logs.EventLog("request")
-        self._shielded: set[asyncio.Task[web.Response]] = set()
+        self._running: set[asyncio.Task[web.Response]] = set()
+        self._leaving_s = math.inf
+        self._stop_s = math.inf
+        self._is_abandoning = False
+
+    def begin_leaving(self, now: float, stop_s: float) -> None:
+        """Refuse what would not end in time from some time on.
+
+        Args:
+            now: Present time.
+            stop_s: Time at which requests that still run are abandoned.
+        """
+        self._leaving_s = now
+        self._stop_s = stop_s
+
+    def abandon(self) -> None:
+        """Answer all requests that still run: whether they do is unknown."""
+        self._is_abandoning = True
+        for task in self._running:
+            task.cancel()
 
     async def handle(self, received: callers.CallerRequest) -> web.Response:
         """Answer one request."""
@@ -106,6 +131,8 @@
         )
         if account is None and not route.is_public and configuration.accounts:
             raise attempts.Refused(401, "key_unknown")
+        if self._is_too_late(route, received.arrived_s):
+            raise attempts.Refused(503, "leaving", LEAVING_RETRY_AFTER_S)
         body = await self._read_body(request, configuration.limits.body_bytes)
         if not route.is_idempotent:
             # The connection may be closed after an answer in front of it.
@@ -124,20 +151,35 @@
         request_attempts = attempts.Attempts(
             self._deps, request, request_headers, call, body
         )
-        if route.is_idempotent:
-            return await request_attempts.run()
-        # A request that is not idempotent runs to its end even if the caller
-        # disconnects: a backend server may be working on it.
+        return await self._run(request_attempts, route.is_idempotent)
+
+    async def _run(
+        self, request_attempts: attempts.Attempts, is_idempotent: bool
+    ) -> web.Response:
         task = asyncio.ensure_future(request_attempts.run())
-        self._shielded.add(task)
+        self._running.add(task)
         task.add_done_callback(self._discard)
-        return await asyncio.shield(task)
+        try:
+            # A request that is not idempotent runs to its end even if the
+            # caller disconnects: a backend server may be working on it.
+            return await (task if is_idempotent else asyncio.shield(task))
+        except asyncio.CancelledError:
+            if task.cancelled() and self._is_abandoning:
+                raise attempts.Refused(504, "outcome_unknown") from None
+            raise
 
     def _discard(self, task: asyncio.Task[web.Response]) -> None:
-        self._shielded.discard(task)
+        self._running.discard(task)
         if not task.cancelled():
             task.exception()
 
+    def _is_too_late(self, route: model.Route, arrived_s: float) -> bool:
+        """Tell whether a host that leaves may have to abandon a request."""
+        return (
+            arrived_s - self._leaving_s > LEAVING_ACCEPT_S
+            and arrived_s + route.timeout_s > self._stop_s
+        )
+
     def _admit(self, account: model.Account, now: float) -> None:
         limiter = self._balancer.accounts.find_limiter(account.name)
         if limiter is None:
--- a/src/cowslipshift/edge/service.py
+++ b/src/cowslipshift/edge/service.py
@@ -63,6 +63,9 @@
 """Requests that still run this long before the platform kills the process
 are abandoned."""
 
+LAST_ANSWERS_S = 0.2
+"""How long the answers to abandoned requests may take to be written."""
+
 ACCEPT_WAITING_S = 0.5
 """How long a host that stops goes on accepting connections that wait, so that
 callers that keep coming do not use up the time for requests that run."""
@@ -120,6 +123,10 @@
         self._log.info("leaving", running=self._handler.in_flight)
         self._is_leaving = self._membership.is_leaving = True
         self._caller_server.is_closing = True
+        now = self._clock.now()
+        self._handler.begin_leaving(
+            now, now + self.bounds.grace_s - STOP_MARGIN_S
+        )
         self._heartbeats.is_leaving = True
         self._heartbeats.send(self._clock.now(), is_urgent=True)
         await asyncio.sleep(
@@ -128,14 +135,21 @@
         await self._accept_waiting_callers()
         for site in list(self._caller_runner.sites):
             await site.stop()
-        while self._caller_server.close_idle_connections():
-            if loop.time() >= until_s:
-                break
-            await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
+        await self._close_idle_connections(until_s)
+        self._handler.abandon()
+        await self._close_idle_connections(loop.time() + LAST_ANSWERS_S)
         self._heartbeats.send(self._clock.now(), is_urgent=True)
         await self._close()
         self._log.info("stopped", unfinished=self._handler.in_flight)
 
+    async def _close_idle_connections(self, until_s: float) -> None:
+        """Close connections as they become idle, until none is left."""
+        loop = asyncio.get_running_loop()
+        while self._caller_server.close_idle_connections():
+            if loop.time() >= until_s:
+                return
+            await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
+
     async def _accept_waiting_callers(self) -> None:
         """Wait until all connections to callers have been accepted.
 
--- a/tests/edge/test_planned_stop.py
+++ b/tests/edge/test_planned_stop.py
@@ -12,6 +12,8 @@
 from tests.edge import daemons
 from tests.edge import rawcaller
 
+from cowslipshift.platform import names
+from cowslipshift.platform import settings as platform_settings
 from cowslipshift.standins import platformfleet
 
 if TYPE_CHECKING:
@@ -177,3 +179,78 @@
         status = await started.stop()
     assert status in (0, -signal.SIGTERM)
     assert b"Traceback" not in started.log.read_bytes()
+
+
+LONG_GRACE_S = 6.0
+LATE_S = 2.8
+"""A time at which a host that stops still takes requests."""
+
+LONG_WORK_S = 4.0
+MAX_REFUSAL_S = 0.2
+
+
+@pytest.fixture
+async def leaving_fleet() -> AsyncIterator[platformfleet.PlatformFleet]:
+    """Hosts with a long grace, and routes that allow long work."""
+    async with platformfleet.PlatformFleet() as started:
+        config = platformfleet.build_config(2)
+        started.store.put(
+            names.CONFIG_KEY,
+            config.replace(b'"timeout_ms":800', b'"timeout_ms":9000'),
+        )
+        for host in started.hosts:
+            host.bounds = platform_settings.Bounds(grace_s=LONG_GRACE_S)
+        for backend in started.backends.values():
+            backend.behaviour.service_s = LONG_WORK_S
+            backend.behaviour.warm_factor = 1.0
+        await platformfleet.wait_until(
+            lambda: all(h.balancer.version == 2 for h in started.hosts)
+        )
+        yield started
+
+
+# Guards against requests that are taken late in the grace and cut without an
+# answer at its end.
+async def test_request_that_cannot_end_in_time_is_refused_at_once(
+    leaving_fleet,
+) -> None:
+    loop = asyncio.get_running_loop()
+    stopping = asyncio.create_task(
+        leaving_fleet.stop_host(leaving_fleet.hosts[0])
+    )
+    address = leaving_fleet.hosts[0].settings.listen.front
+    await asyncio.sleep(LATE_S)
+    started_s = loop.time()
+    for method in ("POST", "GET"):
+        path = platformfleet.WRITE_PATH if method == "POST" else ""
+        status, body, headers = await leaving_fleet.send_request(
+            (path or platformfleet.READ_PATH) + "1",
+            public_address=address,
+            method=method,
+            request_id=f"late-{method}",
+            deadline_ms=9000,
+        )
+        assert (status, body) == (503, b'{"error":"leaving"}')
+        assert "Retry-After" in headers
+        assert leaving_fleet.list_records(f"late-{method}") == []
+    assert loop.time() - started_s < MAX_REFUSAL_S
+    await stopping
+
+
+async def test_request_that_runs_past_the_grace_gets_an_answer(
+    leaving_fleet,
+) -> None:
+    for backend in leaving_fleet.backends.values():
+        backend.behaviour.service_s = 2 * LONG_GRACE_S
+    asking = asyncio.create_task(
+        leaving_fleet.send_request(
+            platformfleet.WRITE_PATH + "1",
+            method="POST",
+            request_id="long",
+            deadline_ms=9000,
+        )
+    )
+    await asyncio.sleep(0.2)
+    await leaving_fleet.stop_host(leaving_fleet.hosts[0])
+    status, body, _ = await asking
+    assert (status, body) == (504, b'{"error":"outcome_unknown"}')
