Obey servers that say that they leave, or that they want a pause

Rules in force from now: no request to a server later than drain_ms after an answer with Server-Leaving, and at most two from a host between half a second after its 503 with Retry-After and the end of that time. No code read either header; other signs (a draining entry, refusals) only happened to stand for them where there were other servers.

Both are read at the platform's boundary from all answers, refusals and errors included, and kept by server and start, apart from the registration, which may lapse and return. A server that leaves gets nothing from then on; one that wants a pause gets nothing until its end, and if no other is left the caller gets a refusal at once whose Retry-After is that pause, spread over half of it. Waits of no number are ignored, long ones cut to an hour.

Both tests over sockets fail without the two conditions in _is_usable.

--- a/src/cowslipshift/edge/attempts.py
+++ b/src/cowslipshift/edge/attempts.py
@@ -222,6 +222,7 @@
             state.record_load(*answer_headers.load, now)
         if not answer_headers.is_other_server:
             self._record_limit(choice, answer_headers.server_limit)
+            self._record_signals(choice, answer_headers)
         self._sent += 1
         if answer_headers.has_not_run:
             self._record_shed(choice, answer.status)
@@ -328,6 +329,32 @@
                 limit=server_limit,
             )
 
+    def _record_signals(
+        self, choice: calls.Choice, answer_headers: ingress.AnswerHeaders
+    ) -> None:
+        entry, signals = choice.state.entry, self._deps.balancer.server_signals
+        if answer_headers.is_leaving and signals.record_leaving(
+            entry.id, entry.started_ms
+        ):
+            _log.notice(
+                "server_leaving",
+                id=self._request_headers.id,
+                backend=entry.id,
+            )
+        if answer_headers.wait_s > 0.0:
+            signals.record_wait(
+                entry.id,
+                entry.started_ms,
+                answer_headers.wait_s,
+                self._deps.clock.now(),
+            )
+            _log.notice(
+                "server_wait",
+                id=self._request_headers.id,
+                backend=entry.id,
+                wait_s=answer_headers.wait_s,
+            )
+
     def _record_version_outcome(
         self, choice: calls.Choice, is_bad: bool
     ) -> None:
--- a/src/cowslipshift/platform/ingress.py
+++ b/src/cowslipshift/platform/ingress.py
@@ -61,6 +61,10 @@
 MAX_REPORTED_LOAD = 100_000
 """Larger numbers in a load report are a fault of the server."""
 
+UNAVAILABLE_STATUS = 503
+MAX_SERVER_WAIT_S = 3600.0
+"""Longer waits that a server asks for are cut to this."""
+
 MAX_SERVER_LIMIT = 1e6
 """Requests a second; a larger limit of a server is none."""
 
@@ -92,6 +96,9 @@
         load: Numbers of running and queued requests, if reported.
         server_limit: Requests a second that the server takes from all hosts
             together; ``None`` if it states no limit.
+        is_leaving: Whether the server states that it leaves.
+        wait_s: Seconds for which the server, which turns the request away,
+            wants no others; 0 if it states none.
     """
 
     is_signed: bool
@@ -99,6 +106,8 @@
     is_other_server: bool
     load: tuple[int, int] | None
     server_limit: float | None = None
+    is_leaving: bool = False
+    wait_s: float = 0.0
 
 
 def parse_request_headers(headers: Mapping[str, str]) -> RequestHeaders:
@@ -171,6 +180,10 @@
         is_other_server=status == OTHER_SERVER_STATUS,
         load=_parse_load(headers.get(names.LOAD_HEADER, "")),
         server_limit=_parse_limit(headers.get(names.SERVER_LIMIT_HEADER, "")),
+        is_leaving=headers.get(names.SERVER_LEAVING_HEADER, "").strip() == "1",
+        wait_s=_parse_wait(headers.get(names.RETRY_AFTER_HEADER, ""))
+        if status == UNAVAILABLE_STATUS
+        else 0.0,
     )
 
 
@@ -207,7 +220,7 @@
     if request_id:
         headers[names.REQUEST_ID_HEADER] = request_id
     if retry_after_s is not None:
-        headers["Retry-After"] = f"{retry_after_s:.2f}"
+        headers[names.RETRY_AFTER_HEADER] = f"{retry_after_s:.2f}"
     return headers
 
 
@@ -226,6 +239,15 @@
     return min(deadline_s, MAX_DEADLINE_S)
 
 
+def _parse_wait(text: str) -> float:
+    try:
+        wait_s = float(text)
+    except ValueError:
+        return 0.0
+    # A number that is none compares as false.
+    return min(wait_s, MAX_SERVER_WAIT_S) if wait_s > 0.0 else 0.0
+
+
 def _parse_limit(text: str) -> float | None:
     try:
         limit = float(text)
--- a/src/cowslipshift/platform/names.py
+++ b/src/cowslipshift/platform/names.py
@@ -11,6 +11,8 @@
 LOAD_HEADER = "Cowslipshift-Server-Load"
 NOT_EXECUTED_HEADER = "Cowslipshift-Not-Executed"
 SERVER_LIMIT_HEADER = "Server-Limit"
+SERVER_LEAVING_HEADER = "Server-Leaving"
+RETRY_AFTER_HEADER = "Retry-After"
 COLD_MS_HEADER = "Cowslipshift-Cold-Ms"
 API_KEY_HEADER = "Api-Key"
 
--- a/src/cowslipshift/standins/platformbackend.py
+++ b/src/cowslipshift/standins/platformbackend.py
@@ -34,6 +34,8 @@
         unsigned: Omit the signature header.
         shed: Reject all requests as not executed.
         limit: Requests a second that its answers say it takes; none if empty.
+        leaving: Say in all answers that it leaves.
+        wait: Seconds, in its refusals, for which it wants no requests.
     """
 
     service_s: float = 0.03
@@ -45,6 +47,8 @@
     unsigned: bool = False
     shed: bool = False
     limit: str = ""
+    leaving: bool = False
+    wait: str = ""
 
 
 class RequestRecord(msgspec.Struct, frozen=True):
@@ -74,6 +78,7 @@
         self.slots = slots
         self.behaviour = Behaviour()
         self.records: list[RequestRecord] = []
+        self.shed_s: list[float] = []
         self.cancelled_count = 0
         self._running = 0
         self._waiting = 0
@@ -120,10 +125,16 @@
         if request.headers.get(names.INSTANCE_HEADER, "") != self.identity:
             return web.Response(status=421, headers=own_headers)
         limit = self.slots * (1 + QUEUE_PER_SLOT)
+        if self.behaviour.shed:
+            self.shed_s.append(asyncio.get_running_loop().time())
         if self.behaviour.shed or self._running + self._waiting >= limit:
             return web.Response(
                 status=503,
-                headers={names.NOT_EXECUTED_HEADER: "1", **own_headers},
+                headers={
+                    names.NOT_EXECUTED_HEADER: "1",
+                    **own_headers,
+                    **self._build_signals(),
+                },
             )
         body = await request.read()
         self._waiting += 1
@@ -171,8 +182,7 @@
             else metadata.id,
             names.LOAD_HEADER: f"{self._running},{self._waiting},{self.slots}",
         }
-        if behaviour.limit:
-            headers[names.SERVER_LIMIT_HEADER] = behaviour.limit
+        headers.update(self._build_signals())
         if not behaviour.unsigned:
             headers[names.SIGNATURE_HEADER] = f"{self.identity}.{number}"
         if behaviour.cut_short:
@@ -189,6 +199,17 @@
             body=f"{self.identity} ran {metadata.id}".encode(),
         )
 
+    def _build_signals(self) -> dict[str, str]:
+        behaviour = self.behaviour
+        signals = {}
+        if behaviour.limit:
+            signals[names.SERVER_LIMIT_HEADER] = behaviour.limit
+        if behaviour.leaving:
+            signals[names.SERVER_LEAVING_HEADER] = "1"
+        if behaviour.wait and behaviour.shed:
+            signals[names.RETRY_AFTER_HEADER] = behaviour.wait
+        return signals
+
     def _choose_time_factor(self, affinity_key: str) -> float:
         if not affinity_key:
             return self.behaviour.warm_factor
--- a/src/cowslipshift/steering/balancer.py
+++ b/src/cowslipshift/steering/balancer.py
@@ -17,6 +17,7 @@
 from cowslipshift.steering import roundtrips
 from cowslipshift.steering import routes
 from cowslipshift.steering import serverlimits
+from cowslipshift.steering import serversignals
 from cowslipshift.steering import splits
 
 if TYPE_CHECKING:
@@ -48,6 +49,9 @@
 MIN_RETRY_AFTER_S = 0.1
 MAX_RETRY_AFTER_S = 1.0
 
+WAIT_SPREAD_FRACTION = 0.5
+"""Fraction of a server's wait over which callers are told to return."""
+
 RETRY_SAFETY = 0.6
 """Fraction of the retry budget that is spent, because hosts learn of each
 other's requests with a delay."""
@@ -83,6 +87,7 @@
         self.rollouts: dict[str, rollouts.Rollout] = {}
         self.configuration: model.Configuration | None = None
         self.inventory = inventories.Inventory()
+        self.server_signals = serversignals.ServerSignals()
         self.server_limits = serverlimits.ServerLimits(membership.own)
         self.round_trips = roundtrips.RoundTrips(
             membership.own.region, regions
@@ -220,6 +225,8 @@
             if isinstance(choice, calls.Refusal):
                 if limited and choice.best is None:
                     return calls.Refusal("server_limit", min_wait_s)
+                if choice.best is None:
+                    return self._explain_refusal(call, choice, now)
                 return choice
             wait_s = self._admit_to_server(choice.state.entry, now)
             if wait_s <= 0.0:
@@ -227,6 +234,30 @@
             min_wait_s = min(min_wait_s, wait_s)
             limited.add(choice.state.entry.id)
 
+    def _explain_refusal(
+        self, call: calls.Call, refusal: calls.Refusal, now: float
+    ) -> calls.Refusal:
+        """Return the refusal of a request for which no server is left.
+
+        If some server only wants a pause, callers are to return after it,
+        but not all at its end.
+        """
+        waits_s = [
+            self._measure_server_wait(state.entry, now)
+            for state in self._rank(call)
+            if not state.is_draining and state.entry.id not in call.tried
+        ]
+        wait_s = min((w for w in waits_s if w > 0.0), default=0.0)
+        if wait_s == 0.0:
+            return refusal
+        spread = WAIT_SPREAD_FRACTION * hashing.hash_fraction(call.id)
+        return calls.Refusal("server_wait", wait_s * (1.0 + spread))
+
+    def _measure_server_wait(self, entry: model.Backend, now: float) -> float:
+        return self.server_signals.measure_wait(
+            entry.id, entry.started_ms, now
+        )
+
     def _admit_to_server(self, entry: model.Backend, now: float) -> float:
         """Return seconds until a server's limit allows one more request."""
         if not self.server_limits.is_limited(entry.id, entry.started_ms):
@@ -403,6 +434,10 @@
         entry = state.entry
         if state.is_draining or entry.id in call.tried:
             return False
+        if self.server_signals.is_leaving(entry.id, entry.started_ms):
+            return False
+        if self._measure_server_wait(entry, now) > 0.0:
+            return False
         if entry.data_centre in self.inventory.evacuated:
             return False
         region = self._regions.get(entry.data_centre)
--- a/src/cowslipshift/telemetry/explanation.py
+++ b/src/cowslipshift/telemetry/explanation.py
@@ -142,12 +142,18 @@
             f"load of {_format(attempt, 'load')} on {attempt.get('slots')} "
             f"slots, reported {_format(attempt, 'load_age_ms')} ms before."
         )
-    if code in ("no_room", "no_backend", "late", "server_limit"):
+    if code in (
+        "no_room",
+        "no_backend",
+        "late",
+        "server_limit",
+        "server_wait",
+    ):
         if "backend" not in last:
             return code, (
                 f"No backend server of {last.get('service')} could be used: "
                 "all were draining, cold, ejected, evacuated, not allowed or "
-                "at the limit that they state."
+                "at the limit that they state, or asked for a pause."
             )
         return code, (
             f"The best backend server, {last['backend']}, was expected to "
--- a/tests/edge/test_server_signals.py
+++ b/tests/edge/test_server_signals.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from cowslipshift.platform import names
 from cowslipshift.standins import platformfleet
 
 if TYPE_CHECKING:
@@ -19,6 +20,10 @@
 LIMIT_WINDOW_S = 4.0
 LIMIT_FACTOR = 1.5
 LIMIT_SLACK = 5
+DRAIN_S = 2.0
+PAUSE_GRACE_S = 0.5
+MAX_LATE_REQUESTS = 2
+"""Requests of a host that may reach a server while it wants a pause."""
 
 
 @pytest.fixture
@@ -73,3 +78,39 @@
     assert find_most_requests(binding, LIMIT_WINDOW_S) <= bound
     assert binding, "it takes what it can"
     assert statuses.count(200) >= 0.98 * len(statuses)
+
+
+# Guards against a server that gets requests after it has said in its answers
+# that it leaves, although its entry still says that it is ready.
+async def test_server_that_says_that_it_leaves_gets_no_more(fleet) -> None:
+    server = fleet.backends[f"{platformfleet.READ_SERVICE}-1"]
+    server.behaviour.leaving = True
+    statuses = await send_steadily(fleet, DRAIN_S + 2.0)
+    times_s = [record.arrived_s for record in server.records]
+    assert times_s
+    assert max(times_s) < times_s[0] + DRAIN_S
+    assert statuses.count(200) >= 0.98 * len(statuses)
+
+
+# Guards against a server that is asked again while it wants a pause, as the
+# only one of its service, so that there is no other.
+async def test_only_server_that_asks_for_a_pause_gets_it(fleet) -> None:
+    pause_s = 3.0
+    for identity in list(fleet.backends):
+        if identity != f"{platformfleet.READ_SERVICE}-1":
+            fleet.store.delete(names.BACKEND_PREFIX + identity)
+    server = fleet.backends[f"{platformfleet.READ_SERVICE}-1"]
+    await asyncio.sleep(0.5)
+    server.behaviour.shed = True
+    server.behaviour.wait = str(pause_s)
+    statuses = await send_steadily(fleet, pause_s)
+    assert set(statuses) == {503}
+    late = [t for t in server.shed_s if t > server.shed_s[0] + PAUSE_GRACE_S]
+    assert len(late) <= MAX_LATE_REQUESTS * len(fleet.hosts)
+    status, _, headers = await fleet.send_request(request_id="refused")
+    assert status == 503
+    assert 0.0 < float(headers["Retry-After"]) <= 1.5 * pause_s
+    server.behaviour.shed = False
+    await asyncio.sleep(pause_s)
+    status, _, _ = await fleet.send_request(request_id="after")
+    assert status == 200
--- a/tests/platform/test_codec.py
+++ b/tests/platform/test_codec.py
@@ -249,3 +249,29 @@
         translation.translate_item(
             interface.Item(key, b'{"later":' + DEEP + b"}", 1)
         )
+
+
+@pytest.mark.parametrize(
+    ("status", "text", "wait_s"),
+    [
+        (503, "2.5", 2.5),
+        (503, "1e300", ingress.MAX_SERVER_WAIT_S),
+        (503, "nan", 0.0),
+        (503, "-1", 0.0),
+        (503, "soon", 0.0),
+        (200, "2.5", 0.0),
+    ],
+)
+def test_wait_that_a_server_asks_for_is_bounded(status, text, wait_s) -> None:
+    headers = {names.RETRY_AFTER_HEADER: text}
+    found = ingress.parse_answer_headers(status, headers)
+    assert found.wait_s == wait_s
+
+
+@pytest.mark.parametrize(
+    ("text", "limit"),
+    [("1.6", 1.6), ("0", 0.0), ("nan", None), ("-1", None), ("inf", None)],
+)
+def test_limit_that_a_server_states_is_bounded(text, limit) -> None:
+    headers = {names.SERVER_LIMIT_HEADER: text}
+    assert ingress.parse_answer_headers(200, headers).server_limit == limit
