Rank the hosts that may send to a server by a function

The class _Hosts held two arguments for one call. Ranks are the same; the tests of server limits, server signals and the balancer pass (64).

--- a/src/cowslipshift/steering/serverlimits.py
+++ b/src/cowslipshift/steering/serverlimits.py
@@ -78,12 +78,17 @@
         self._ranked_s = -math.inf
 
     def rank(
-        self, server: str, own: model.Member, hosts: _Hosts, now: float
+        self,
+        server: str,
+        own: model.Member,
+        members: list[model.Member],
+        region: str,
+        now: float,
     ) -> int:
         """Return the place of this host among those that may send."""
         if now - self._ranked_s > RANK_CACHE_S:
             self._ranked_s = now
-            self._rank = hosts.rank(server, own)
+            self._rank = _rank_host(server, own, members, region)
         return self._rank
 
     def try_admit(self, rank: int, hosts: int, now: float) -> float:
@@ -112,29 +117,22 @@
         return 0.0
 
 
-class _Hosts:
-    """The hosts that may send to a server.
+def _rank_host(
+    server: str, own: model.Member, members: list[model.Member], region: str
+) -> int:
+    """Return how many hosts may send to a server before this one does.
 
-    Args:
-        members: The hosts.
-        region: Region of the server, whose hosts ask for it most.
+    Those of the server's region come first, as they ask for it most.
     """
-
-    __slots__ = ("members", "region")
-
-    def __init__(self, members: list[model.Member], region: str) -> None:
-        self.members = members
-        self.region = region
-
-    def rank(self, server: str, own: model.Member) -> int:
-        """Return how many hosts come before one, those of the region first."""
-        local = [m.name for m in self.members if m.region == self.region]
-        other = [m.name for m in self.members if m.region != self.region]
-        resource = f"limit|{server}"
-        if own.region == self.region:
-            return hashing.rank_members(resource, local).index(own.name)
-        ranked = hashing.rank_members(resource, other)
-        return len(local) + ranked.index(own.name)
+    peers = [
+        m.name
+        for m in members
+        if (m.region == region) == (own.region == region)
+    ]
+    rank = hashing.rank_members(f"limit|{server}", peers).index(own.name)
+    if own.region == region:
+        return rank
+    return len(members) - len(peers) + rank
 
 
 class ServerLimits:
@@ -208,8 +206,7 @@
         limit = self._limits.get((server, started_ms))
         if limit is None or limit.rate == 0.0:
             return 0.0
-        hosts = _Hosts(members, region)
-        rank = limit.rank(server, self._own, hosts, now)
+        rank = limit.rank(server, self._own, members, region, now)
         return limit.try_admit(rank, len(members), now)
 
     def list_reports(self, now: float) -> list[ServerLimitReport]:
