Review: give the hosts of a case ports of their own

Cause: in one of twenty-three runs a case did not run, as a host was not ready in time. 56 starts of six hosts, four at a time, with their logs: at least three had a host that could not bind a port, which an outgoing connection or another case had taken meanwhile. Change: ports below those of outgoing connections, in a block for each case.

--- a/review/standins/host.py
+++ b/review/standins/host.py
@@ -5,12 +5,16 @@
 import asyncio
 import os
 import pathlib
+import random
 import signal
 import socket
 import tomllib
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 START_TIMEOUT_S = 20.0
+FIRST_PORT = 10_000
+LAST_PORT = 30_000
+BLOCK_PORTS = 100
 
 SETTINGS = """\
 node_name = "{name}"
@@ -72,24 +76,56 @@
     return opened
 
 
-def find_ports() -> list[int]:
-    """Return two free ports in a row, then four more."""
-    for _ in range(200):
-        held = [_bind(0, socket.SOCK_STREAM)]
-        first = held[0].getsockname()[1]
-        try:
-            held.append(_bind(first, socket.SOCK_DGRAM))
-            held.append(_bind(first + 1, socket.SOCK_STREAM))
-            others = [_bind(0, socket.SOCK_STREAM) for _ in range(4)]
-            held += others
-            ports = [opened.getsockname()[1] for opened in others]
-            return [first, first + 1, *ports]
-        except (OSError, OverflowError):
-            continue
-        finally:
-            for opened in held:
-                opened.close()
-    raise OSError("no free ports")
+def _is_free(port: int) -> bool:
+    try:
+        for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+            _bind(port, kind).close()
+    except OSError:
+        return False
+    return True
+
+
+class _Ports:
+    """Ports below those that the system gives to outgoing connections.
+
+    The first port of a block stays bound, so that two cases that run at the
+    same time take different blocks.
+    """
+
+    def __init__(self) -> None:
+        self._guard: socket.socket | None = None
+        self._next = 0
+
+    def take(self, count: int) -> list[int]:
+        """Return free ports in a row."""
+        while True:
+            if self._guard is None or self._next + count > self._end:
+                self._open_block()
+            ports = list(range(self._next, self._next + count))
+            self._next += count
+            if all(_is_free(port) for port in ports):
+                return ports
+
+    @property
+    def _end(self) -> int:
+        assert self._guard is not None
+        first: int = self._guard.getsockname()[1]
+        return first + BLOCK_PORTS
+
+    def _open_block(self) -> None:
+        blocks = list(range(FIRST_PORT, LAST_PORT, BLOCK_PORTS))
+        random.shuffle(blocks)
+        for first in blocks:
+            try:
+                self._guard = _bind(first, socket.SOCK_STREAM)
+            except OSError:
+                continue
+            self._next = first + 1
+            return
+        raise OSError("no free ports")
+
+
+_ports = _Ports()
 
 
 class Host:
@@ -113,7 +149,7 @@
     ) -> None:
         self.name = name
         self.zone = zone
-        ports = find_ports()
+        ports = _ports.take(6)
         self.front = f"127.0.0.1:{ports[2]}"
         self._ready_port = ports[3]
         self.directory = f"127.0.0.1:{ports[5]}"
