Read the body of a request that ends its connection

Cause: `CallerConnection` drops what follows the last request of a connection, and took the request for read as soon as its head was. The body behind the head was dropped with the rest, and the handler waited for it.

The new tests fail before: 29 of 29 on the platform interface. Ruled out: the parser (a body without `Connection: close` arrives), the size and the framing (length and chunks fail alike), the time of arrival (one segment, two, single bytes).

Fix: the connection keeps the body of the last request and drops bytes only once that body is complete.

Related paths: the own interface reads bodies by aiohttp's server, which has no such shortcut; its test passed before and after.

--- a/src/cowslipshift/edge/callers.py
+++ b/src/cowslipshift/edge/callers.py
@@ -9,6 +9,7 @@
 from typing import TYPE_CHECKING
 
 from aiohttp import http_writer
+from aiohttp import streams
 from aiohttp import web
 from aiohttp import web_protocol
 import msgspec
@@ -85,8 +86,8 @@
 
     __slots__ = (
         "_caller_server",
-        "_is_last_read",
         "_is_reading",
+        "_last_body",
         "_opened_s",
         "_queue",
     )
@@ -95,8 +96,9 @@
         super().__init__(server, **options)
         self._caller_server = server
         self._queue: collections.deque[CallerRequest] = collections.deque()
-        self._is_last_read = False
         self._is_reading = False
+        # Body of the request that ends the connection; ``None`` before it.
+        self._last_body: streams.StreamReader | None = None
         # ``None`` once bytes have arrived.
         self._opened_s: float | None = server.clock.now()
 
@@ -132,10 +134,14 @@
         when it finds an error, so it is given one head at a time.
         """
         for part in _split_behind_heads(data):
-            if not self._is_last_read:
+            if not self._has_read_last():
                 self._receive_part(part)
         self._begin_waiting()
 
+    def _has_read_last(self) -> bool:
+        """Tell whether the last request has arrived with its whole body."""
+        return self._last_body is not None and self._last_body.is_eof()
+
     def _receive_part(self, data: bytes) -> None:
         known = len(self._messages)
         super().data_received(data)
@@ -147,9 +153,13 @@
             self._opened_s = None
         for message, payload in arrived:
             if isinstance(message, web_protocol._ErrInfo):
-                self._is_last_read = True
+                self._last_body = streams.EMPTY_PAYLOAD
+                return
+            if self._last_body is not None:
+                # Behind the last request; its answer closes the connection.
                 return
-            self._is_last_read = message.should_close
+            if message.should_close:
+                self._last_body = payload
             self._queue.append(
                 CallerRequest(self._make_request(message, payload), now)
             )
--- a/tests/edge/rawcaller.py
+++ b/tests/edge/rawcaller.py
@@ -98,6 +98,8 @@
     deadline_ms: str = "2000",
     extra: str = "",
     body: bytes = b"",
+    version: str = "1.1",
+    is_chunked: bool = False,
 ) -> bytes:
     """Return a request as a caller writes it.
 
@@ -107,20 +109,28 @@
         affinity_key: Affinity key, sent as a cookie.
         deadline_ms: Value of the deadline header.
         extra: Further header lines, each with its end.
-        body: Body, sent with its length.
+        body: Body, sent with its length or in chunks.
+        version: Version of HTTP.
+        is_chunked: Whether the body is sent in two chunks, with a trailer.
     """
     method, path = (
         ("POST", platformfleet.WRITE_PATH)
         if is_write
         else ("GET", platformfleet.READ_PATH)
     )
+    framing = f"Content-Length: {len(body)}"
+    if is_chunked:
+        framing = "Transfer-Encoding: chunked"
+        parts = (body[: len(body) // 2], body[len(body) // 2 :])
+        chunks = (b"%x\r\n%b\r\n" % (len(part), part) for part in parts)
+        body = b"".join(chunks) + b"0\r\nX-Trailer: 1\r\n\r\n"
     head = (
-        f"{method} {path}1 HTTP/1.1\r\n"
+        f"{method} {path}1 HTTP/{version}\r\n"
         f"Host: {platformfleet.HOSTNAME}\r\n"
         f"{names.REQUEST_ID_HEADER}: {request_id}\r\n"
         f"{names.DEADLINE_MS_HEADER}: {deadline_ms}\r\n"
         f"{names.API_KEY_HEADER}: {platformfleet.API_KEY}\r\n"
         f"Cookie: {names.AFFINITY_COOKIE}={affinity_key}\r\n"
-        f"Content-Length: {len(body)}\r\n{extra}\r\n"
+        f"{framing}\r\n{extra}\r\n"
     )
     return head.encode() + body
--- /dev/null
+++ b/tests/edge/test_request_bodies.py
@@ -0,0 +1,102 @@
+"""Requests with bodies, in all forms that a caller may send them in."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import pytest
+from tests.edge import rawcaller
+
+from cowslipshift.standins import platformfleet
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+BODY = b"first line\r\n\r\nsecond line, behind what looks like a head\r\n"
+SEGMENT_PAUSE_S = 0.001
+
+CLOSING_FORMS = {
+    "length": {"extra": "Connection: close\r\n"},
+    "chunks": {"extra": "Connection: close\r\n", "is_chunked": True},
+    "http-1.0": {"version": "1.0"},
+    "http-1.0-close": {"version": "1.0", "extra": "Connection: close\r\n"},
+}
+
+
+@pytest.fixture
+async def fleet() -> AsyncIterator[platformfleet.PlatformFleet]:
+    async with platformfleet.PlatformFleet(backends=1) as started:
+        yield started
+
+
+def split(content: bytes, way: str) -> list[bytes]:
+    """Split a request into the segments in which it arrives."""
+    head_bytes = content.index(b"\r\n\r\n") + 4
+    if way == "whole":
+        return [content]
+    if way == "behind the head":
+        return [content[:head_bytes], content[head_bytes:]]
+    tail = content[head_bytes:]
+    return [
+        content[: head_bytes - 1],
+        content[head_bytes - 1 : head_bytes],
+        *(tail[at : at + 1] for at in range(len(tail))),
+    ]
+
+
+# Guards against a host that drops the body of a request that ends its
+# connection, and waits for it without end.
+@pytest.mark.parametrize("is_write", (True, False), ids=("write", "read"))
+@pytest.mark.parametrize("way", ("whole", "behind the head", "in bytes"))
+@pytest.mark.parametrize("form", CLOSING_FORMS)
+async def test_request_with_a_body_that_closes_its_connection_is_answered(
+    fleet, form, way, is_write
+) -> None:
+    content = rawcaller.build_request(
+        "w", is_write, body=BODY, **CLOSING_FORMS[form]
+    )
+    async with rawcaller.RawCaller(fleet.hosts[0]) as caller:
+        for segment in split(content, way):
+            caller.send(segment)
+            if way != "whole":
+                await asyncio.sleep(SEGMENT_PAUSE_S)
+        answer = await caller.read_answer()
+        assert (answer.status, answer.request_id) == (200, "w")
+        assert await caller.read_rest() == b""
+    (record,) = fleet.list_records("w")
+    assert record.body == BODY
+
+
+async def test_body_that_closes_its_connection_may_follow_other_requests(
+    fleet,
+) -> None:
+    async with rawcaller.RawCaller(fleet.hosts[0]) as caller:
+        caller.send(
+            rawcaller.build_request("r"),
+            rawcaller.build_request("w1", True, body=BODY),
+            rawcaller.build_request(
+                "w2", True, body=BODY, **CLOSING_FORMS["chunks"]
+            ),
+        )
+        answers = [await caller.read_answer() for _ in range(3)]
+        assert [a.request_id for a in answers] == ["r", "w1", "w2"]
+        assert [a.status for a in answers] == [200] * 3
+        assert await caller.read_rest() == b""
+    assert [r.body for r in fleet.list_records("w2")] == [BODY]
+
+
+@pytest.mark.parametrize("form", CLOSING_FORMS)
+async def test_nothing_behind_a_body_that_closes_its_connection_is_passed_on(
+    fleet, form
+) -> None:
+    async with rawcaller.RawCaller(fleet.hosts[0]) as caller:
+        caller.send(
+            rawcaller.build_request(
+                "w", True, body=BODY, **CLOSING_FORMS[form]
+            ),
+            rawcaller.build_request("r2", affinity_key="8"),
+        )
+        assert (await caller.read_answer()).request_id == "w"
+        assert await caller.read_rest() == b""
+    assert fleet.list_records("r2") == []
