Refuse requests whose body stops arriving, at their deadline

What callers saw: a request whose body stops on the way was never answered; on the platform the connection stayed open for as long as the caller kept it.

Cause: the body was awaited without a time limit, on the platform interface (`RequestHandler._read_body`), the own one (`parsing.read_body`) and between hosts (`PeerApi`).

Evidence: the new tests fail before: 9 of 9 on the platform interface, 3 of 4 on the own one. The fourth, a large body that is streamed on, ended at its deadline before and after. Not tested: the limit between hosts.

Fix: what is read of a body has to arrive by the request's deadline or its route's time-out, less the margin for the answer. Then the request is refused as not run, with 408 `body_late`, and the connection is closed behind it, as the rest of the body may follow on it; the same holds for 413.

--- a/src/cowslipshift/bodies.py
+++ b/src/cowslipshift/bodies.py
@@ -1,4 +1,4 @@
-"""Reads bodies of HTTP answers up to a limit."""
+"""Bodies of HTTP messages: limits, and reading of answers up to one."""
 
 from __future__ import annotations
 
@@ -10,6 +10,11 @@
     from collections.abc import Callable
 
 
+UNREAD_BODY_STATUSES = (408, 413)
+"""Refusals in front of a body that was not read to its end. What follows on
+their connection may be the rest of that body, so it is closed."""
+
+
 async def read_body(
     response: aiohttp.ClientResponse,
     limit: int,
--- a/src/cowslipshift/edge/handler.py
+++ b/src/cowslipshift/edge/handler.py
@@ -9,6 +9,7 @@
 from aiohttp import web
 import msgspec
 
+from cowslipshift import bodies
 from cowslipshift.edge import attempts
 from cowslipshift.platform import ingress
 from cowslipshift.telemetry import logs
@@ -133,19 +134,25 @@
             raise attempts.Refused(401, "key_unknown")
         if self._is_too_late(route, received.arrived_s):
             raise attempts.Refused(503, "leaving", LEAVING_RETRY_AFTER_S)
-        body = await self._read_body(request, configuration.limits.body_bytes)
+        until_s = (
+            received.arrived_s
+            + min(deadline_s, route.timeout_s)
+            - ANSWER_MARGIN_S
+        )
+        body = await self._read_body(
+            request, configuration.limits.body_bytes, until_s
+        )
         if not route.is_idempotent:
             # The connection may be closed after an answer in front of it.
             await received.wait_turn()
         if account is not None and not route.is_public:
             self._admit(account, self._clock.now())
-        left_s = min(deadline_s, route.timeout_s) - ANSWER_MARGIN_S
         call = self._balancer.open_call(
             request_headers.id,
             route,
             account,
             request_headers.affinity_key,
-            received.arrived_s + left_s,
+            until_s,
             received.arrived_s,
         )
         request_attempts = attempts.Attempts(
@@ -202,17 +209,22 @@
             self._on_urgent()
 
     async def _read_body(
-        self, request: web.BaseRequest, limit: int
+        self, request: web.BaseRequest, limit: int, until_s: float
     ) -> bytes | None:
+        """Read a request's body; refuse one that is late or too large."""
         if not request.can_read_body:
             return None
         parts = []
         size = 0
-        async for part in request.content.iter_any():
-            size += len(part)
-            if size > limit:
-                raise attempts.Refused(413, "body_too_large")
-            parts.append(part)
+        try:
+            async with asyncio.timeout(until_s - self._clock.now()):
+                async for part in request.content.iter_any():
+                    size += len(part)
+                    if size > limit:
+                        raise attempts.Refused(413, "body_too_large")
+                    parts.append(part)
+        except TimeoutError as error:
+            raise attempts.Refused(408, "body_late", size=size) from error
         return b"".join(parts)
 
     def _refuse(
@@ -235,10 +247,13 @@
             config=self._balancer.version,
             **refusal.inputs,
         )
-        return web.Response(
+        response = web.Response(
             status=refusal.status,
             body=msgspec.json.encode({"error": refusal.code}),
             headers=ingress.build_refusal_headers(
                 request_headers.id, refusal.retry_after_s
             ),
         )
+        if refusal.status in bodies.UNREAD_BODY_STATUSES:
+            response.force_close()
+        return response
--- a/src/cowslipshift/serving/entry/gateway.py
+++ b/src/cowslipshift/serving/entry/gateway.py
@@ -8,6 +8,7 @@
 from aiohttp import web
 import multidict
 
+from cowslipshift import bodies
 from cowslipshift.coordination import outcomes
 from cowslipshift.routing import exceptions as routing_exceptions
 from cowslipshift.serving import calls
@@ -249,7 +250,12 @@
                 "key_in_path",
                 "the API key must not appear in the path or query",
             )
-        body = await parsing.read_body(request, service, not route.idempotent)
+        body = await parsing.read_body(
+            request,
+            service,
+            not route.idempotent,
+            deadline_s - self._clock.now(),
+        )
         return calls.Call(
             id=request_id,
             service=service.name,
@@ -369,12 +375,15 @@
     if refusal.retry_after_ms is not None:
         seconds = -(-refusal.retry_after_ms // 1000)
         headers["Retry-After"] = str(seconds)
-    return web.Response(
+    response = web.Response(
         status=refusal.status,
         body=refusals.encode_refusal(refusal),
         content_type="application/json",
         headers=headers,
     )
+    if refusal.status in bodies.UNREAD_BODY_STATUSES:
+        response.force_close()
+    return response
 
 
 def _copy_reply_headers(
--- a/src/cowslipshift/serving/entry/parsing.py
+++ b/src/cowslipshift/serving/entry/parsing.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import re
 from typing import TYPE_CHECKING
 
@@ -147,7 +148,10 @@
 
 
 async def read_body(
-    request: web.Request, service: model.Service, whole: bool
+    request: web.Request,
+    service: model.Service,
+    whole: bool,
+    timeout_s: float,
 ) -> calls.Body:
     """Read a request body; stream the rest of a large one.
 
@@ -156,9 +160,10 @@
         service: The service that is asked.
         whole: Whether to read even a large body completely, because the
             request may have to be repeated.
+        timeout_s: Time within which what is read here has to arrive.
 
     Raises:
-        Refusal: The body is too large.
+        Refusal: The body is too large, or late.
     """
     if not request.body_exists:
         return calls.Body(b"")
@@ -170,14 +175,18 @@
         raise _refuse_large(limit)
     buffer_limit = limit if whole else calls.REPLAY_LIMIT_BYTES
     head = bytearray()
-    async for chunk in request.content.iter_chunked(calls.CHUNK_BYTES):
-        head += chunk
-        if len(head) > limit:
-            raise _refuse_large(limit)
-        if len(head) > buffer_limit:
-            return calls.Body(
-                None, request.content, bytes(head), length, limit
-            )
+    try:
+        async with asyncio.timeout(timeout_s):
+            async for chunk in request.content.iter_chunked(calls.CHUNK_BYTES):
+                head += chunk
+                if len(head) > limit:
+                    raise _refuse_large(limit)
+                if len(head) > buffer_limit:
+                    return calls.Body(
+                        None, request.content, bytes(head), length, limit
+                    )
+    except TimeoutError as error:
+        raise refusals.refuse_late_body() from error
     return calls.Body(bytes(head))
 
 
--- a/src/cowslipshift/serving/entry/peerapi.py
+++ b/src/cowslipshift/serving/entry/peerapi.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import TYPE_CHECKING
 
 from aiohttp import web
@@ -174,13 +175,13 @@
                     "this attempt was received twice"
                 )
             raise refusals.refuse_overloaded("this attempt was recalled")
-        if request.body_exists and (
-            request.content_length is not None
-            and request.content_length <= calls.REPLAY_LIMIT_BYTES
-            or not call.idempotent
-        ):
-            call.body = calls.Body(await request.read())
         try:
+            if request.body_exists and (
+                request.content_length is not None
+                and request.content_length <= calls.REPLAY_LIMIT_BYTES
+                or not call.idempotent
+            ):
+                call.body = await self._read_body(request, call)
             if request.headers.get(wire.PURPOSE_HEADER) == wire.PURPOSE_KEYED:
                 return await self._deduplicator.run_as_owner(call)
             if call.scope is calls.Scope.HOST:
@@ -191,6 +192,16 @@
                 self._attempt_table.undo_start(call.attempt, self._clock.now())
             raise
 
+    async def _read_body(
+        self, request: web.Request, call: calls.Call
+    ) -> calls.Body:
+        timeout_s = call.deadline_s - self._clock.now()
+        try:
+            async with asyncio.timeout(timeout_s):
+                return calls.Body(await request.read())
+        except TimeoutError as error:
+            raise refusals.refuse_late_body() from error
+
     def _build_result_headers(
         self, service: str, result: str
     ) -> dict[str, str]:
--- a/src/cowslipshift/serving/refusals.py
+++ b/src/cowslipshift/serving/refusals.py
@@ -94,6 +94,15 @@
     )
 
 
+def refuse_late_body() -> Refusal:
+    """Refuse a request whose body had not arrived by its deadline."""
+    return Refusal(
+        408,
+        "body_late",
+        "the body did not arrive within the deadline",
+    )
+
+
 def refuse_timeout() -> Refusal:
     """Report that no backend server answered before the deadline."""
     return Refusal(
--- a/tests/edge/test_request_bodies.py
+++ b/tests/edge/test_request_bodies.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from typing import TYPE_CHECKING
 
+import msgspec
 import pytest
 from tests.edge import rawcaller
 
@@ -16,6 +18,10 @@
 BODY = b"first line\r\n\r\nsecond line, behind what looks like a head\r\n"
 SEGMENT_PAUSE_S = 0.001
 
+ROUTE_TIMEOUT_S = 0.8
+HELD_S = 0.5
+"""How long after its time-out a request may be without an answer (CONFIG)."""
+
 CLOSING_FORMS = {
     "length": {"extra": "Connection: close\r\n"},
     "chunks": {"extra": "Connection: close\r\n", "is_chunked": True},
@@ -100,3 +106,45 @@
         assert (await caller.read_answer()).request_id == "w"
         assert await caller.read_rest() == b""
     assert fleet.list_records("r2") == []
+
+
+# Guards against a host that waits without end for a body that stopped.
+@pytest.mark.parametrize("is_write", (True, False), ids=("write", "read"))
+@pytest.mark.parametrize("is_chunked", (True, False))
+@pytest.mark.parametrize("deadline_ms", (300, 2000))
+async def test_body_that_stops_arriving_is_refused_as_not_run_in_time(
+    fleet, deadline_ms, is_chunked, is_write
+) -> None:
+    content = rawcaller.build_request(
+        "w",
+        is_write,
+        deadline_ms=str(deadline_ms),
+        body=BODY,
+        is_chunked=is_chunked,
+    )
+    started_s = time.monotonic()
+    async with rawcaller.RawCaller(fleet.hosts[0]) as caller:
+        caller.send(content[: -len(BODY) // 2])
+        answer = await caller.read_answer()
+        took_s = time.monotonic() - started_s
+        assert (answer.status, answer.closes) == (408, True)
+        assert msgspec.json.decode(answer.body) == {"error": "body_late"}
+        assert took_s < min(deadline_ms / 1000, ROUTE_TIMEOUT_S) + HELD_S
+        # What arrives now is neither run nor taken for another request.
+        caller.send(content[-len(BODY) // 2 :], rawcaller.build_request("r"))
+        assert await caller.read_rest() == b""
+    assert fleet.list_records("w") == fleet.list_records("r") == []
+    assert fleet.hosts[0]._handler.in_flight == 0
+
+
+async def test_body_that_stops_arriving_delays_no_other_connection(
+    fleet,
+) -> None:
+    async with (
+        rawcaller.RawCaller(fleet.hosts[0]) as stopped,
+        rawcaller.RawCaller(fleet.hosts[0]) as other,
+    ):
+        stopped.send(rawcaller.build_request("w", True, body=BODY)[:-1])
+        other.send(rawcaller.build_request("r"))
+        assert (await other.read_answer()).status == 200
+        assert (await stopped.read_answer()).status == 408
--- a/tests/system/test_request_bodies.py
+++ b/tests/system/test_request_bodies.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from typing import TYPE_CHECKING
 
 import pytest
@@ -10,10 +11,16 @@
 from tests import builders
 
 if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
     from cowslipshift.standins import localfleet
 
 A1 = "north-a-1"
+DEADLINE_MS = "600"
 READ_LIMIT_S = 5.0
+ANSWER_LIMIT_S = 0.6 + 0.5
+STREAMED_BYTES = 200_000
+"""More than a host buffers, less than a service takes."""
 
 
 # Guards against a host that drops the body of a request that ends its
@@ -34,3 +41,43 @@
     assert answer.split()[1] == b"200"
     assert answer.endswith(b"\r\n\r\nhello")
     writer.close()
+
+
+async def send_stopping(size: int) -> AsyncIterator[bytes]:
+    """Yield a body of some bytes, and then nothing more."""
+    yield b"x" * size
+    await asyncio.sleep(3600.0)
+
+
+# Guards against a host that waits without end for a body that stopped.
+@pytest.mark.parametrize("size", (5, STREAMED_BYTES))
+@pytest.mark.parametrize("service", ("catalogue", "approvals"))
+async def test_body_that_stops_arriving_is_refused_in_time(
+    fleet: localfleet.LocalFleet, service: str, size: int
+) -> None:
+    headers = builders.build_headers(
+        X_Request_Timeout_Ms=DEADLINE_MS, Idempotency_Key=builders.make_key()
+    )
+    started_s = time.monotonic()
+    async with (
+        asyncio.timeout(READ_LIMIT_S),
+        fleet.session.post(
+            f"{fleet.hosts[A1].url}/v1/services/{service}/orders",
+            headers=headers,
+            data=send_stopping(size),
+        ) as response,
+    ):
+        status = response.status
+        raw = await response.read()
+    assert time.monotonic() - started_s < ANSWER_LIMIT_S
+    if service == "catalogue" and size == STREAMED_BYTES:
+        # Its beginning was streamed to a server.
+        assert status in (502, 504)
+        return
+    assert (status, b"body_late" in raw, b'"not_run":true' in raw) == (
+        408,
+        True,
+        True,
+    )
+    stats = await fleet.fetch_backends()
+    assert all(row["requests"] == 0 for row in stats.values())
