Keep the services of a route by its host and prefix

What callers saw: requests for one virtual host ran at the service of another one's route, once a configuration gave both routes the same name (ROUTE).

Cause: the splitter and the latency estimates of a route were kept in tables keyed by the route's name. The last route of a name replaced the services of the others.

Ruled out: the choice of the route (`RouteTable` is keyed by host and prefix) and hosts that differ in version (all had version 9).

Fix: both tables are keyed by `Route.key`, host in lower case and prefix.

Related paths: answers and latencies in the metrics, and log lines of requests, were told apart by name too; they now carry `hostname`.

--- a/src/cowslipshift/edge/attempts.py
+++ b/src/cowslipshift/edge/attempts.py
@@ -247,6 +247,7 @@
         _log.info(
             "answered",
             id=self._request_headers.id,
+            hostname=call.route.hostname,
             route=call.route.name,
             account=call.account.name if call.account else "",
             thing=call.affinity_key,
@@ -262,7 +263,7 @@
     def _build_response(self, answer: upstream.Answer) -> web.Response:
         took_s = self._deps.clock.now() - self._call.arrived_s
         self._deps.metrics.count_answer(
-            self._call.route.name, self._call.priority, answer.status, took_s
+            self._call.route, self._call.priority, answer.status, took_s
         )
         return web.Response(
             status=answer.status,
@@ -296,6 +297,7 @@
         _log.notice(
             "attempt_failed",
             id=self._request_headers.id,
+            hostname=self._call.route.hostname,
             route=self._call.route.name,
             code=error.code,
             reason=error.message,
--- a/src/cowslipshift/edge/metrics.py
+++ b/src/cowslipshift/edge/metrics.py
@@ -3,9 +3,13 @@
 from __future__ import annotations
 
 import collections
+from typing import TYPE_CHECKING
 
 import aioprometheus
 
+if TYPE_CHECKING:
+    from cowslipshift.steering import model
+
 LATENCY_BUCKETS_S = (0.05, 0.1, 0.2, 0.4, 0.6, 1.0, 1.5, 2.5, 4.0, 8.0)
 
 
@@ -62,16 +66,19 @@
         )
 
     def count_answer(
-        self, route: str, priority: int, status: int, took_s: float
+        self, route: model.Route, priority: int, status: int, took_s: float
     ) -> None:
         """Count an answer from a backend server and its latency."""
         self._add(
             "cowslipshift_answers_total",
-            route=route,
+            hostname=route.hostname,
+            route=route.name,
             rank=str(priority),
             status=str(status),
         )
-        self._latency.observe({"route": route}, took_s)
+        self._latency.observe(
+            {"hostname": route.hostname, "route": route.name}, took_s
+        )
 
     def count_refusal(self, code: str, status: int, priority: str) -> None:
         """Count a request that the system itself answered with an error.
--- a/src/cowslipshift/steering/balancer.py
+++ b/src/cowslipshift/steering/balancer.py
@@ -99,8 +99,8 @@
         self._max_retry_reserve = 1.0
         self._budgets: dict[str, budgets.RetryBudget] = {}
         self._routes = routes.RouteTable(())
-        self._splitters: dict[str, splits.Splitter] = {}
-        self._latencies: dict[str, latencies.RouteLatency] = {}
+        self._splitters: dict[tuple[str, str], splits.Splitter] = {}
+        self._latencies: dict[tuple[str, str], latencies.RouteLatency] = {}
         self._rankings: dict[tuple[str, str], list[backends.BackendState]] = {}
         self._cold_sent_s: dict[str, float] = {}
         self._ranked_generation = 0
@@ -144,17 +144,16 @@
             return False
         self.configuration = configuration
         self._routes = routes.RouteTable(configuration.routes)
-        for route in configuration.routes:
-            splitter = self._splitters.get(route.name)
+        for route in self._routes.list_routes():
+            key = route.key
+            splitter = self._splitters.get(key)
             if (
                 splitter is None
                 or splitter.weighted_services != route.weighted_services
             ):
-                self._splitters[route.name] = splits.Splitter(
-                    route.weighted_services
-                )
-            if route.name not in self._latencies:
-                self._latencies[route.name] = latencies.RouteLatency(route)
+                self._splitters[key] = splits.Splitter(route.weighted_services)
+            if key not in self._latencies:
+                self._latencies[key] = latencies.RouteLatency(route)
         self.accounts.apply(configuration.accounts.values(), now)
         return True
 
@@ -194,7 +193,7 @@
         arrived_s: float,
     ) -> calls.Call:
         """Open a request: choose its service and version."""
-        service = self._splitters[route.name].choose_service()
+        service = self._splitters[route.key].choose_service()
         rollout = self.rollouts.get(service)
         self._get_budget(service).record_attempt(self._retry_ratio)
         return calls.Call(
@@ -339,7 +338,7 @@
     ) -> None:
         """Update the latency estimate from an answer of the server."""
         if choice.load < choice.state.entry.slots:
-            self._latencies[call.route.name].update(
+            self._latencies[call.route.key].update(
                 took_s, choice.is_known_warm
             )
 
@@ -457,7 +456,7 @@
         position: int,
         now: float,
     ) -> calls.Choice:
-        latency = self._latencies[call.route.name]
+        latency = self._latencies[call.route.key]
         is_known_warm = not call.affinity_key or state.is_warm_for(
             call.affinity_key, now
         )
--- a/src/cowslipshift/steering/model.py
+++ b/src/cowslipshift/steering/model.py
@@ -19,7 +19,8 @@
     """Settings for the requests of one virtual host and path prefix.
 
     Attributes:
-        name: Name of the route.
+        name: Name of the route, for operators. Routes of several virtual
+            hosts may have the same one.
         hostname: Virtual host that clients name.
         prefix: Path prefix; the longest match applies.
         weighted_services: Services that the requests are split over.
@@ -48,6 +49,11 @@
     has_affinity: bool
     regions: tuple[str, ...] = ()
 
+    @property
+    def key(self) -> tuple[str, str]:
+        """Virtual host and path prefix, which select the route."""
+        return self.hostname.lower(), self.prefix
+
 
 class Account(msgspec.Struct, frozen=True):
     """A client account.
--- /dev/null
+++ b/tests/edge/test_metrics.py
@@ -0,0 +1,31 @@
+"""Metrics of a host on a platform."""
+
+from __future__ import annotations
+
+from tests import builders
+
+from cowslipshift.edge import metrics as metric
+
+
+# Guards against answers that are counted for another virtual host's route, as
+# that route has the same name.
+def test_answers_of_routes_of_one_name_are_counted_apart() -> None:
+    metrics = metric.EdgeMetrics("h1")
+    for hostname in ("tills.example", "office.example", "office.example"):
+        route = builders.build_route(name="entries", hostname=hostname)
+        metrics.count_answer(route, 1, 200, 0.1)
+    lines = metrics.render()[0].decode().splitlines()
+    counts = [
+        line.rpartition(" ")[2]
+        for hostname in ("tills.example", "office.example")
+        for line in lines
+        if line.startswith("cowslipshift_answers_total")
+        and f'hostname="{hostname}"' in line
+    ]
+    assert counts == ["1", "2"]
+    observed = [
+        line
+        for line in lines
+        if line.startswith("cowslipshift_request_seconds_count")
+    ]
+    assert len(observed) == 2
