Ignore entries of servers that are older than the one applied last

What callers saw: requests went to a server later than `drain_ms` after it had reported `draining`, and those that it ran as it exited were lost (DRAIN).

Cause: a write that gets no answer may be executed seconds later, after others that were sent later. The store's revisions order the executions, not the server's words; `seq` orders those, and was decoded and not used. A late write from before the report made the server ready again on all hosts.

Ruled out: lag of hosts (the entry is newer in the store on every host), health checks (no code makes a server ready by one).

Fix: an entry is outdated if its start is earlier, or its sequence smaller within one start, than that of the entry applied last; a removed server's last entry is remembered for 15 s. Outdated entries are logged (`entry_outdated`) and not applied.

--- a/src/cowslipshift/edge/service.py
+++ b/src/cowslipshift/edge/service.py
@@ -405,7 +405,14 @@
                 reason=error.message,
             )
             return
-        if change is not None and self._balancer.apply(change, now):
+        if change is None:
+            return
+        if self._balancer.is_outdated(change, now):
+            self._log.info(
+                "entry_outdated", key=item.key, revision=item.revision
+            )
+            return
+        if self._balancer.apply(change, now):
             event, fields = logevents.describe_change(change)
             self._log.info(event, revision=item.revision, **fields)
 
--- a/src/cowslipshift/platform/codec.py
+++ b/src/cowslipshift/platform/codec.py
@@ -189,6 +189,7 @@
         is_draining=server.status.state == "draining",
         cold_s=max(0.0, server.status.cold_remaining_ms / MS_PER_S),
         started_ms=server.born,
+        sequence=server.status.seq,
     )
 
 
--- a/src/cowslipshift/standins/platformbackend.py
+++ b/src/cowslipshift/standins/platformbackend.py
@@ -80,6 +80,7 @@
         self.records: list[RequestRecord] = []
         self.shed_s: list[float] = []
         self.cancelled_count = 0
+        self._sequence = 0
         self._running = 0
         self._waiting = 0
         self._free = asyncio.Semaphore(slots)
@@ -96,7 +97,8 @@
         state: str = "ready",
         cold_ms: int = 0,
     ) -> bytes:
-        """Return the entry with which the server registers in the store."""
+        """Return the server's next entry, with which it registers."""
+        self._sequence += 1
         return msgspec.json.encode(
             {
                 "address": address,
@@ -108,7 +110,7 @@
                 },
                 "status": {
                     "state": state,
-                    "seq": 1,
+                    "seq": self._sequence,
                     "cold_remaining_ms": cold_ms,
                 },
                 "born": 1,
--- a/src/cowslipshift/standins/platformfleet.py
+++ b/src/cowslipshift/standins/platformfleet.py
@@ -179,16 +179,22 @@
         self, identity: str, state: str, version: str = "v1"
     ) -> None:
         """Write an entry with another state for a backend server."""
-        service, data_centre = self.backend_locations[identity]
         self.store.put(
             names.BACKEND_PREFIX + identity,
-            self.backends[identity].build_entry(
-                self.backend_addresses[identity],
-                service,
-                data_centre,
-                version,
-                state,
-            ),
+            self.build_next_entry(identity, state, version),
+        )
+
+    def build_next_entry(
+        self, identity: str, state: str, version: str = "v1"
+    ) -> bytes:
+        """Return a backend server's next entry without writing it."""
+        service, data_centre = self.backend_locations[identity]
+        return self.backends[identity].build_entry(
+            self.backend_addresses[identity],
+            service,
+            data_centre,
+            version,
+            state,
         )
 
     async def add_host(self, data_centre: str) -> edge_service.EdgeService:
--- a/src/cowslipshift/steering/balancer.py
+++ b/src/cowslipshift/steering/balancer.py
@@ -114,6 +114,14 @@
 
     # Changes from the store
 
+    def is_outdated(self, change: changes.Change, now: float) -> bool:
+        """Tell whether a newer change of the same server was applied."""
+        return (
+            isinstance(change, changes.BackendChange)
+            and change.backend is not None
+            and self.inventory.is_outdated(change.backend, now)
+        )
+
     def apply(self, change: changes.Change, now: float) -> bool:
         """Apply a change; return whether it differs from the known state."""
         if isinstance(change, changes.ConfigurationChange):
--- a/src/cowslipshift/steering/inventory.py
+++ b/src/cowslipshift/steering/inventory.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 from typing import TYPE_CHECKING
 
 from cowslipshift.steering import backends
@@ -18,6 +19,13 @@
 """How long after a store outage expired entries may be registered again; the
 platform states about two seconds."""
 
+LATE_WRITE_S = 15.0
+"""How long after its removal the last entry of a server is remembered. The
+store may execute a write that got no answer seconds later."""
+
+MAX_REMOVED = 10_000
+"""Removed servers that are remembered; the earliest ones go first."""
+
 
 class Inventory:
     """Backend servers by service, and the evacuated data centres.
@@ -35,6 +43,9 @@
         self._services: dict[str, list[backends.BackendState]] = {}
         self._data_centres_by_address: dict[str, str] = {}
         self._expired: set[str] = set()
+        self._removed: collections.OrderedDict[
+            str, tuple[model.Backend, float]
+        ] = collections.OrderedDict()
         self._store_recovery_until_s = -1e9
 
     @property
@@ -64,15 +75,33 @@
         expired = list(self._expired)
         self._expired.clear()
         for identity in expired:
-            self._drop(identity)
+            self._drop(identity, now)
         return expired
 
+    def is_outdated(self, entry: model.Backend, now: float) -> bool:
+        """Tell whether a newer entry of the server has been applied.
+
+        The store may execute a write after others that were sent later. The
+        entry that it then holds is not the server's last word.
+        """
+        known = self._by_id.get(entry.id)
+        if known is not None:
+            return entry.is_older_than(known.entry)
+        last, removed_s = self._removed.get(entry.id, (None, 0.0))
+        if last is None or now - removed_s > LATE_WRITE_S:
+            return False
+        return entry.is_older_than(last)
+
     def apply_entry(self, entry: model.Backend, now: float) -> bool:
-        """Apply a server's registration; return whether it is a change."""
+        """Apply a server's registration; return whether it is a change.
+
+        An outdated one is not applied.
+        """
+        if self.is_outdated(entry, now):
+            return False
         self._expired.discard(entry.id)
+        self._removed.pop(entry.id, None)
         known = self._by_id.get(entry.id)
-        if known is not None and known.entry.started_ms > entry.started_ms:
-            return False
         cold_until_s = now + entry.cold_s
         if known is None or known.entry.started_ms != entry.started_ms:
             state = backends.BackendState(entry, now, cold_until_s)
@@ -95,7 +124,7 @@
         if now < self._store_recovery_until_s:
             self._expired.add(identity)
             return True
-        self._drop(identity)
+        self._drop(identity, now)
         return True
 
     def apply_evacuation(
@@ -118,11 +147,15 @@
                 )
         return True
 
-    def _drop(self, identity: str) -> None:
+    def _drop(self, identity: str, now: float) -> None:
         state = self._by_id.pop(identity, None)
-        if state is not None:
-            state.is_draining = True
-            self._rebuild()
+        if state is None:
+            return
+        state.is_draining = True
+        self._removed[identity] = state.entry, now
+        while len(self._removed) > MAX_REMOVED:
+            self._removed.popitem(last=False)
+        self._rebuild()
 
     def _rebuild(self) -> None:
         self.generation += 1
--- a/src/cowslipshift/steering/model.py
+++ b/src/cowslipshift/steering/model.py
@@ -120,7 +120,10 @@
     Attributes:
         id: Identity that requests name, so that no other server at the
             same address runs them.
-        started_ms: Unix time of its start, which tells incarnations apart.
+        started_ms: Unix time of its start, which tells incarnations apart; 0
+            if unknown.
+        sequence: Number of the registration, which grows within one
+            incarnation.
         cold_s: Remaining time that it is slow after its start.
     """
 
@@ -133,12 +136,19 @@
     is_draining: bool
     cold_s: float
     started_ms: int
+    sequence: int = 0
 
     @property
     def incarnation(self) -> str:
         """Identifier of this start of the server."""
         return f"{self.id}@{self.started_ms}"
 
+    def is_older_than(self, other: Backend) -> bool:
+        """Tell whether the server wrote this entry before another one."""
+        if self.started_ms != other.started_ms:
+            return self.started_ms < other.started_ms
+        return self.started_ms > 0 and self.sequence < other.sequence
+
 
 class RolloutOrder(msgspec.Struct, frozen=True):
     """An order to roll out a new version of a service.
--- a/tests/edge/test_platform_path.py
+++ b/tests/edge/test_platform_path.py
@@ -385,3 +385,34 @@
     )
     status, _, _ = await fleet.send_request()
     assert status == 200
+
+
+# Guards against a leaving server that gets requests again, as a write from
+# before its report is executed after it.
+async def test_late_write_of_a_leaving_server_brings_it_no_requests(
+    fleet,
+) -> None:
+    identity = "orders-3"
+    late = fleet.build_next_entry(identity, "ready")
+    fleet.update_backend_state(identity, "draining")
+    await wait_for_revision(fleet)
+    fleet.store.put(names.BACKEND_PREFIX + identity, late)
+    await wait_for_revision(fleet)
+    for number in range(20):
+        for host in range(len(fleet.hosts)):
+            await fleet.send_request(
+                platformfleet.WRITE_PATH + str(number),
+                host,
+                request_id=f"w{number}-{host}",
+                method="POST",
+                affinity_key=str(number),
+            )
+    assert fleet.backends[identity].records == []
+
+
+async def wait_for_revision(fleet) -> None:
+    """Wait until all hosts have applied what the store holds now."""
+    revision = fleet.store.revision
+    await platformfleet.wait_until(
+        lambda: all(host.revision >= revision for host in fleet.hosts)
+    )
