Write a host's entry again if the write failed

What would be seen: a host that no other host knows: none names it to callers or sends it heartbeats, and it takes most of each account's rate for itself.

Cause: the lease was kept when the write of the entry behind it failed, or was refused because the lease had ended, and from then on only renewed.

Evidence: `test_entry_whose_write_failed_is_written_again` fails before, for a write without an answer and for one that is refused.

Fix: the entry is written until a write has succeeded; one that is refused ends the use of its lease.

--- a/src/cowslipshift/edge/registration.py
+++ b/src/cowslipshift/edge/registration.py
@@ -41,6 +41,7 @@
         self._store = store
         self._watcher = watcher
         self._lease = 0
+        self._needs_write = True
         self._log = logs.EventLog("announcer")
 
     async def run(self) -> None:
@@ -68,10 +69,20 @@
 
     async def _renew(self) -> None:
         """Renew the lease, or register anew if it has expired."""
-        if self._lease and await self._store.renew_lease(self._lease):
-            return
-        self._lease = await self._store.grant_lease(LEASE_TTL_S)
+        if self._lease and not await self._store.renew_lease(self._lease):
+            self._lease = 0
+        if not self._lease:
+            self._lease = await self._store.grant_lease(LEASE_TTL_S)
+            self._needs_write = True
+        if self._needs_write:
+            await self._write()
+
+    async def _write(self) -> None:
         key = names.MEMBER_PREFIX + self._own.name
-        await self._store.swap_items(
+        has_written = await self._store.swap_items(
             {}, {key: msgspec.json.encode(self._own)}, self._lease
         )
+        self._needs_write = not has_written
+        if not has_written:
+            # The lease has ended meanwhile.
+            self._lease = 0
--- /dev/null
+++ b/tests/edge/test_registration.py
@@ -0,0 +1,73 @@
+"""Registrations of hosts in a store that fails now and then."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+from tests import builders
+
+from cowslipshift.edge import registration
+from cowslipshift.platform import names
+from cowslipshift.standins import platformfleet
+from cowslipshift.store import exceptions as store_exceptions
+
+OWN = builders.build_member("h1")
+
+
+class FailingStore:
+    """A store whose writes end as told; leases are granted and renewed.
+
+    Attributes:
+        write_results: What the next writes return, or raise; then all succeed.
+        written: Lease of each write that succeeded.
+    """
+
+    def __init__(self) -> None:
+        self.write_results: list[bool | Exception] = []
+        self.written: list[int] = []
+        self.leases = 0
+
+    async def renew_lease(self, lease: int) -> bool:
+        return True
+
+    async def grant_lease(self, ttl_s: float) -> int:
+        self.leases += 1
+        return self.leases
+
+    async def swap_items(self, expected, writes, lease) -> bool:
+        assert list(writes) == [names.MEMBER_PREFIX + OWN.name]
+        result = self.write_results.pop(0) if self.write_results else True
+        if isinstance(result, Exception):
+            raise result
+        if result:
+            self.written.append(lease)
+        return result
+
+
+class StoreObserver:
+    def record_store_result(self, has_succeeded, reason="") -> None:
+        pass
+
+
+@pytest.fixture
+def store() -> FailingStore:
+    return FailingStore()
+
+
+# Guards against a host that is never registered, as the write of its entry
+# failed after its lease had been granted.
+@pytest.mark.parametrize(
+    "failure", (store_exceptions.StoreUnavailableError("no answer"), False)
+)
+async def test_entry_whose_write_failed_is_written_again(
+    store, monkeypatch, failure
+) -> None:
+    monkeypatch.setattr(registration, "LEASE_RENEWAL_INTERVAL_S", 0.02)
+    store.write_results = [failure, failure]
+    host = registration.HostRegistration(OWN, store, StoreObserver())
+    task = asyncio.create_task(host.run())
+    await platformfleet.wait_until(lambda: bool(store.written))
+    await asyncio.sleep(0.1)
+    task.cancel()
+    assert store.written == [store.leases]
