Register a host again when another entry takes its place

What would be seen: a host that runs is taken for dead for up to six seconds and is then known to nobody: not named to callers, sent no heartbeats.

Evidence: `test_entry_that_an_earlier_start_replaces_is_written_again` and `test_entry_that_is_removed_is_written_again` fail before; the third new test fails before only for a name.

Ruled out: ordering the entries by incarnation, as with servers' `seq`. A host's incarnation is its time of day, which may jump back at a restart.

Fix: a host that hears of another entry under its name, or of none, writes its own again, at most every 0.3 s. The log says `entry_lost`.

--- a/src/cowslipshift/edge/registration.py
+++ b/src/cowslipshift/edge/registration.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -21,6 +22,10 @@
 
 LEASE_RENEWAL_INTERVAL_S = 2.0
 
+MIN_WRITE_INTERVAL_S = 0.3
+"""Two processes under one name would otherwise replace each other's entries
+as fast as the store allows."""
+
 
 class HostRegistration:
     """Keeps a host's entry in the store and renews its lease.
@@ -42,17 +47,41 @@
         self._watcher = watcher
         self._lease = 0
         self._needs_write = True
+        self._has_lost_entry = asyncio.Event()
         self._log = logs.EventLog("announcer")
 
     async def run(self) -> None:
         """Register the host and renew its lease until cancelled."""
         while True:
+            self._has_lost_entry.clear()
             try:
                 await self._renew()
                 self._watcher.record_store_result(True)
             except store_exceptions.StoreError as error:
                 self._watcher.record_store_result(False, error)
-            await asyncio.sleep(LEASE_RENEWAL_INTERVAL_S)
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(LEASE_RENEWAL_INTERVAL_S):
+                    await asyncio.sleep(MIN_WRITE_INTERVAL_S)
+                    await self._has_lost_entry.wait()
+
+    def record_entry(self, entry: model.Member | None) -> None:
+        """Record what the store holds under this host's name.
+
+        The store may execute a write of an earlier start late, and the entry
+        then ends with the lease of that start. One that is not this host's own
+        is replaced.
+
+        Args:
+            entry: The entry; ``None`` if there is none any more.
+        """
+        if entry == self._own or self._needs_write:
+            return
+        self._log.warn(
+            "entry_lost",
+            incarnation=None if entry is None else entry.incarnation,
+        )
+        self._needs_write = True
+        self._has_lost_entry.set()
 
     async def deregister(self) -> None:
         """End the lease, if there is one."""
@@ -79,10 +108,15 @@
 
     async def _write(self) -> None:
         key = names.MEMBER_PREFIX + self._own.name
-        has_written = await self._store.swap_items(
-            {}, {key: msgspec.json.encode(self._own)}, self._lease
-        )
-        self._needs_write = not has_written
-        if not has_written:
-            # The lease has ended meanwhile.
-            self._lease = 0
+        has_written = False
+        self._needs_write = False
+        try:
+            has_written = await self._store.swap_items(
+                {}, {key: msgspec.json.encode(self._own)}, self._lease
+            )
+            if not has_written:
+                # The lease has ended meanwhile.
+                self._lease = 0
+        finally:
+            # An entry that was lost while it was written stays noted.
+            self._needs_write = self._needs_write or not has_written
--- a/src/cowslipshift/edge/service.py
+++ b/src/cowslipshift/edge/service.py
@@ -37,6 +37,7 @@
 from cowslipshift.platform import translation
 from cowslipshift.steering import accounts
 from cowslipshift.steering import balancer as balancers
+from cowslipshift.steering import changes
 from cowslipshift.steering import limiters
 from cowslipshift.steering import membership as memberships
 from cowslipshift.steering import model
@@ -407,6 +408,11 @@
             return
         if change is None:
             return
+        if (
+            isinstance(change, changes.MemberChange)
+            and change.name == self._own.name
+        ):
+            self._registration.record_entry(change.member)
         if self._balancer.is_outdated(change, now):
             self._log.info(
                 "entry_outdated", key=item.key, revision=item.revision
--- a/tests/edge/test_registration.py
+++ b/tests/edge/test_registration.py
@@ -4,6 +4,7 @@
 
 import asyncio
 
+import msgspec
 import pytest
 from tests import builders
 
@@ -71,3 +72,40 @@
     await asyncio.sleep(0.1)
     task.cancel()
     assert store.written == [store.leases]
+
+
+# Guards against a host that is taken for dead, and then forgotten, as a write
+# of its earlier start is executed after its own registration.
+async def test_entry_that_an_earlier_start_replaces_is_written_again() -> None:
+    async with platformfleet.PlatformFleet(backends=1) as fleet:
+        host, other = fleet.hosts
+        key = names.MEMBER_PREFIX + host.settings.node_name
+        own = fleet.store.get(key)
+        assert own is not None
+        earlier = msgspec.json.decode(own)
+        earlier["incarnation"] -= 1
+        fleet.store.put(key, msgspec.json.encode(earlier))
+        await platformfleet.wait_until(lambda: fleet.store.get(key) == own)
+        await platformfleet.wait_until(
+            lambda: other.revision >= fleet.store.revision
+        )
+        member = other.balancer.membership.find_member(host.settings.node_name)
+        assert member is not None
+        assert member.incarnation == earlier["incarnation"] + 1
+
+
+async def test_entry_that_is_removed_is_written_again() -> None:
+    async with platformfleet.PlatformFleet(backends=1) as fleet:
+        key = names.MEMBER_PREFIX + fleet.hosts[0].settings.node_name
+        own = fleet.store.get(key)
+        fleet.store.delete(key)
+        await platformfleet.wait_until(lambda: fleet.store.get(key) == own)
+
+
+async def test_host_that_stops_does_not_write_its_entry_again() -> None:
+    async with platformfleet.PlatformFleet(backends=1) as fleet:
+        stopped = fleet.hosts[1]
+        key = names.MEMBER_PREFIX + stopped.settings.node_name
+        await fleet.stop_host(stopped)
+        await asyncio.sleep(2 * registration.MIN_WRITE_INTERVAL_S)
+        assert fleet.store.get(key) is None
