Ask callers for the body that they wait to send

Cause: aiohttp answers the expectation in applications with routes only, not in the bare server that takes callers' connections here. The own interface has routes and is not affected.

Evidence: `test_caller_that_waits_to_be_asked_for_its_body_is_asked` fails before, with a length and with chunks.

Fix: the host asks when it is the request's turn, so that the answers in front stay in order, and only if no byte of the body is there yet.

--- a/src/cowslipshift/edge/callers.py
+++ b/src/cowslipshift/edge/callers.py
@@ -8,7 +8,9 @@
 from typing import Any
 from typing import TYPE_CHECKING
 
+from aiohttp import hdrs
 from aiohttp import http_writer
+from aiohttp import HttpVersion11
 from aiohttp import streams
 from aiohttp import web
 from aiohttp import web_protocol
@@ -34,6 +36,7 @@
 request when the host stops."""
 
 HEAD_END = b"\r\n\r\n"
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 _log = logs.EventLog("caller")
 
@@ -65,6 +68,20 @@
         """Record that all requests in front of it have been answered."""
         self._turn.set()
 
+    async def ask_for_body(self) -> None:
+        """Tell a caller that waits for it to send the body.
+
+        Answers to the requests in front of it come first.
+        """
+        request = self.request
+        expects = request.headers.get(hdrs.EXPECT, "").lower()
+        if expects != "100-continue" or request.version < HttpVersion11:
+            return
+        await self.wait_turn()
+        has_begun = request.content.is_eof() or request.content.total_bytes
+        if not has_begun and request.transport is not None:
+            request.transport.write(CONTINUE)
+
     def count_held_bytes(self) -> int:
         """Return the size of its answer if the answer waits for its turn."""
         task = self.task
--- a/src/cowslipshift/edge/handler.py
+++ b/src/cowslipshift/edge/handler.py
@@ -140,7 +140,7 @@
             - ANSWER_MARGIN_S
         )
         body = await self._read_body(
-            request, configuration.limits.body_bytes, until_s
+            received, configuration.limits.body_bytes, until_s
         )
         if not route.is_idempotent:
             # The connection may be closed after an answer in front of it.
@@ -209,15 +209,17 @@
             self._on_urgent()
 
     async def _read_body(
-        self, request: web.BaseRequest, limit: int, until_s: float
+        self, received: callers.CallerRequest, limit: int, until_s: float
     ) -> bytes | None:
         """Read a request's body; refuse one that is late or too large."""
+        request = received.request
         if not request.can_read_body:
             return None
         parts = []
         size = 0
         try:
             async with asyncio.timeout(until_s - self._clock.now()):
+                await received.ask_for_body()
                 async for part in request.content.iter_any():
                     size += len(part)
                     if size > limit:
--- a/tests/edge/rawcaller.py
+++ b/tests/edge/rawcaller.py
@@ -85,6 +85,12 @@
             )
         return RawAnswer(int(status_line.split()[1]), headers, body)
 
+    async def read_head(self) -> str:
+        """Read the head of an answer without a body."""
+        async with asyncio.timeout(READ_LIMIT_S):
+            head = await self._reader.readuntil(b"\r\n\r\n")
+        return head.decode().removesuffix("\r\n\r\n")
+
     async def read_rest(self) -> bytes:
         """Read until the host closes the connection."""
         async with asyncio.timeout(READ_LIMIT_S):
--- a/tests/edge/test_request_bodies.py
+++ b/tests/edge/test_request_bodies.py
@@ -148,3 +148,49 @@
         other.send(rawcaller.build_request("r"))
         assert (await other.read_answer()).status == 200
         assert (await stopped.read_answer()).status == 408
+
+
+# Guards against a caller that waits to be asked for its body, and a host that
+# waits for the body.
+@pytest.mark.parametrize("is_chunked", (True, False))
+async def test_caller_that_waits_to_be_asked_for_its_body_is_asked(
+    fleet, is_chunked
+) -> None:
+    content = rawcaller.build_request(
+        "w",
+        True,
+        body=BODY,
+        is_chunked=is_chunked,
+        extra="Expect: 100-continue\r\n",
+    )
+    head, body = split(content, "behind the head")
+    async with rawcaller.RawCaller(fleet.hosts[0]) as caller:
+        caller.send(rawcaller.build_request("r"), head)
+        assert (await caller.read_answer()).request_id == "r"
+        assert await caller.read_head() == "HTTP/1.1 100 Continue"
+        caller.send(body)
+        answer = await caller.read_answer()
+        assert (answer.status, answer.request_id) == (200, "w")
+    (record,) = fleet.list_records("w")
+    assert record.body == BODY
+
+
+@pytest.mark.parametrize(
+    "fields",
+    ({}, {"version": "1.0"}),
+    ids=("sent at once", "http-1.0"),
+)
+async def test_caller_that_does_not_wait_is_not_asked_for_its_body(
+    fleet, fields
+) -> None:
+    async with rawcaller.RawCaller(fleet.hosts[0]) as caller:
+        caller.send(
+            rawcaller.build_request(
+                "w",
+                True,
+                body=BODY,
+                extra="Expect: 100-continue\r\n",
+                **fields,
+            )
+        )
+        assert (await caller.read_answer()).status == 200
