--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: install demo test lint format fuzz bench
+.PHONY: install demo test lint format fuzz soak bench
 
 install: $(VENV)/.installed
 
@@ -21,6 +21,9 @@
 fuzz: install
 	COWSLIPSHIFT_FUZZ_EXAMPLES=2000 $(BIN)/python -m pytest tests/fuzz
 
+soak: install
+	COWSLIPSHIFT_SOAK_SEEDS=100-149 $(BIN)/python -m pytest tests/soak
+
 lint: install
 	$(BIN)/ruff format --check src tests bench examples
 	$(BIN)/ruff check src tests bench examples
--- a/tests/system/test_request_bodies.py
+++ b/tests/system/test_request_bodies.py
@@ -8,13 +8,15 @@
 
 import pytest
 
+from cowslipshift.peers import credentials
+from cowslipshift.serving import calls
+from cowslipshift.serving.backend import wire
+from cowslipshift.standins import localfleet
 from tests import builders
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
-    from cowslipshift.standins import localfleet
-
 A1 = "north-a-1"
 DEADLINE_MS = "600"
 READ_LIMIT_S = 5.0
@@ -81,3 +83,56 @@
     )
     stats = await fleet.fetch_backends()
     assert all(row["requests"] == 0 for row in stats.values())
+
+
+# Guards against a host that waits without end for a body that another host,
+# which may be gone, does not send on.
+async def test_body_that_another_host_stops_sending_is_refused_in_time(
+    fleet: localfleet.LocalFleet,
+) -> None:
+    headers = build_forwarded_headers(timeout_s=float(DEADLINE_MS) / 1000)
+    started_s = time.monotonic()
+    async with (
+        asyncio.timeout(READ_LIMIT_S),
+        fleet.session.post(
+            f"http://{fleet.hosts[A1].peer}/peer/forward/approvals/orders",
+            headers=headers,
+            data=send_stopping(5),
+        ) as response,
+    ):
+        raw = await response.read()
+    assert time.monotonic() - started_s < ANSWER_LIMIT_S
+    assert (response.status, b"body_late" in raw) == (408, True)
+    stats = await fleet.fetch_backends()
+    assert all(row["requests"] == 0 for row in stats.values())
+
+
+def build_forwarded_headers(timeout_s: float) -> dict[str, str]:
+    """Build the headers of an order that another host forwards."""
+    call = calls.Call(
+        id="forwarded",
+        service="approvals",
+        route="/orders",
+        method="POST",
+        path="/orders",
+        headers=[],
+        body=calls.Body(b""),
+        account=builders.ACCOUNT,
+        key_id=f"{builders.ACCOUNT}-1",
+        key=builders.make_key(),
+        idempotent=False,
+        deadline_s=0.0,
+    )
+    headers = wire.build_headers(
+        call,
+        remaining_s=timeout_s,
+        purpose=wire.PURPOSE_KEYED,
+        scope=calls.Scope.HOST,
+        attempt="a" * 32,
+        incarnation=0,
+        wall_s=time.time(),
+    )
+    headers[credentials.HEADER] = credentials.sign_credential(
+        localfleet.SECRET, "north-a-2", time.time()
+    )
+    return headers
