Reserve no ports for configurations that nobody serves

Cause: a reserved port is held until its process ends, and `builders.build_configuration` reserved some for each configuration, also in property tests that only compare documents. Ruled out: load (the ports are locks, counted in a run of these tests alone).

The new test fails before. Only `tests/config` and `tests/topology` use the builder, and start nothing with it; both pass.

--- a/tests/builders.py
+++ b/tests/builders.py
@@ -14,6 +14,7 @@
 from cowslipshift.config import model
 from cowslipshift.serving.entry import idempotency
 from cowslipshift.standins import deployments
+from cowslipshift.standins import portreservations
 from cowslipshift.steering import accounts as account_limiters
 from cowslipshift.steering import balancer as balancers
 from cowslipshift.steering import calls
@@ -41,9 +42,24 @@
 )
 
 
+class UnreservedPorts(deployments.PortAllocator):
+    """Ports of configurations that nobody serves."""
+
+    def __init__(self) -> None:
+        self._last = portreservations.FIRST_PORT
+
+    def allocate(self) -> int:
+        """Return the next port, without reserving it."""
+        self._last += 1
+        return self._last
+
+
 def build_configuration(**fields: Any) -> model.Configuration:
-    """Build a valid configuration, with some fields replaced."""
-    base = deployments.build_configuration(TINY, deployments.PortAllocator())
+    """Build a valid configuration, with some fields replaced.
+
+    It reserves no ports: a property test would use them up.
+    """
+    base = deployments.build_configuration(TINY, UnreservedPorts())
     return msgspec.structs.replace(base, **fields)
 
 
--- a/tests/config/test_configuration.py
+++ b/tests/config/test_configuration.py
@@ -21,6 +21,7 @@
 from cowslipshift.config import resolution
 from cowslipshift.config import validation
 from cowslipshift.config import weights
+from cowslipshift.standins import portreservations
 
 if TYPE_CHECKING:
     from syrupy.assertion import SnapshotAssertion
@@ -235,3 +236,11 @@
     assert min(start, goal) - 1e-9 <= now <= max(start, goal) + 1e-9
     end_s = at_s + weights.compute_remaining_s(shift, at_s)
     assert weights.compute_shift_weight(shift, end_s) == pytest.approx(goal)
+
+
+# Guards against test runs beside each other that find no free port, as each
+# configuration that is built keeps some until its process ends.
+def test_configurations_that_nobody_serves_reserve_no_ports() -> None:
+    reserved = len(portreservations._locks)
+    builders.build_configuration()
+    assert len(portreservations._locks) == reserved
