Log each answer that is passed on, and by which word a server refused

The answer of the last server, passed on when no other could take the request, left no line, so that a server's own 503 could not be told from a host's. attempt_shed now says whether a header or the status alone states that the request did not run. No decision changes.

--- a/src/cowslipshift/edge/attempts.py
+++ b/src/cowslipshift/edge/attempts.py
@@ -86,7 +86,7 @@
         "_body",
         "_call",
         "_deps",
-        "_last_answer",
+        "_last_answered",
         "_may_have_run",
         "_request",
         "_request_headers",
@@ -109,7 +109,7 @@
         self._sent = 0
         self._connect_failures = 0
         self._may_have_run = False
-        self._last_answer: upstream.Answer | None = None
+        self._last_answered: tuple[calls.Choice, upstream.Answer] | None = None
 
     async def run(self) -> web.Response:
         """Make attempts until one gives an answer, or none is left.
@@ -143,8 +143,8 @@
         return self._deps.balancer.choose_backend(call, now)
 
     def _conclude_unanswered(self, refusal: calls.Refusal) -> web.Response:
-        if self._last_answer is not None:
-            return self._build_response(self._last_answer)
+        if self._last_answered is not None:
+            return self._pass_on(*self._last_answered)
         if self._may_have_run:
             raise self._build_unknown(refusal.reason == "late")
         raise Refused(
@@ -205,13 +205,14 @@
             return None
         finally:
             state.in_flight -= 1
-        return self._evaluate(choice, answer, deps.clock.now() - now)
+        answer.took_s = deps.clock.now() - now
+        return self._evaluate(choice, answer)
 
     def _is_own_answer(self, headers: Mapping[str, str]) -> bool:
         return ingress.is_answer_to(self._request_headers.id, headers)
 
     def _evaluate(
-        self, choice: calls.Choice, answer: upstream.Answer, took_s: float
+        self, choice: calls.Choice, answer: upstream.Answer
     ) -> web.Response | None:
         call, deps = self._call, self._deps
         state, now = choice.state, deps.clock.now()
@@ -225,7 +226,7 @@
             self._record_signals(choice, answer_headers)
         self._sent += 1
         if answer_headers.has_not_run:
-            self._record_shed(choice, answer.status)
+            self._record_shed(choice, answer.status, answer_headers.is_stated)
             if answer_headers.is_other_server:
                 deps.balancer.record_gone_server(call, choice, now)
             return None
@@ -240,10 +241,18 @@
                 raise self._build_unknown(is_timeout=False)
             return None
         is_bad = answer.status >= 500
-        self._record_answer(choice, took_s, is_bad)
+        self._record_answer(choice, answer.took_s, is_bad)
         if is_bad and call.route.is_idempotent:
-            self._last_answer = answer
+            self._last_answered = choice, answer
             return None
+        return self._pass_on(choice, answer)
+
+    def _pass_on(
+        self, choice: calls.Choice, answer: upstream.Answer
+    ) -> web.Response:
+        call, deps = self._call, self._deps
+        now = deps.clock.now()
+        took_s = now - call.arrived_s
         _log.info(
             "answered",
             id=self._request_headers.id,
@@ -252,18 +261,14 @@
             account=call.account.name if call.account else "",
             thing=call.affinity_key,
             status=answer.status,
-            took_ms=took_s * 1000,
+            took_ms=answer.took_s * 1000,
             target_ms=call.route.target_s * 1000,
             attempts=self._sent,
             config=deps.balancer.version,
             **describe_choice(choice, now),
         )
-        return self._build_response(answer)
-
-    def _build_response(self, answer: upstream.Answer) -> web.Response:
-        took_s = self._deps.clock.now() - self._call.arrived_s
-        self._deps.metrics.count_answer(
-            self._call.route, self._call.priority, answer.status, took_s
+        deps.metrics.count_answer(
+            call.route, call.priority, answer.status, took_s
         )
         return web.Response(
             status=answer.status,
@@ -305,7 +310,9 @@
             **describe_choice(choice, now),
         )
 
-    def _record_shed(self, choice: calls.Choice, status: int) -> None:
+    def _record_shed(
+        self, choice: calls.Choice, status: int, is_stated: bool
+    ) -> None:
         now = self._deps.clock.now()
         if choice.state.estimate_load(now) < choice.state.entry.slots:
             choice.state.record_outcome(True, now)
@@ -314,6 +321,7 @@
             "attempt_shed",
             id=self._request_headers.id,
             status=status,
+            stated=is_stated,
             **describe_choice(choice, now),
         )
 
--- a/src/cowslipshift/edge/upstream.py
+++ b/src/cowslipshift/edge/upstream.py
@@ -42,11 +42,16 @@
 
 
 class Answer(msgspec.Struct):
-    """The complete answer of a backend server."""
+    """The complete answer of a backend server.
+
+    Attributes:
+        took_s: Seconds from the start of the attempt.
+    """
 
     status: int
     headers: multidict.CIMultiDictProxy[str]
     body: bytes
+    took_s: float = 0.0
 
 
 class _Connection(connections.GuardedConnection):
--- a/src/cowslipshift/platform/ingress.py
+++ b/src/cowslipshift/platform/ingress.py
@@ -92,6 +92,7 @@
     Attributes:
         is_signed: Whether the server signed the answer.
         has_not_run: Whether the server states that the request did not run.
+        is_stated: Whether a header states it, rather than the status alone.
         is_other_server: Whether another server than the one asked for answers.
         load: Numbers of running and queued requests, if reported.
         server_limit: Requests a second that the server takes from all hosts
@@ -103,6 +104,7 @@
 
     is_signed: bool
     has_not_run: bool
+    is_stated: bool
     is_other_server: bool
     load: tuple[int, int] | None
     server_limit: float | None = None
@@ -173,10 +175,11 @@
 
     Status 421 also means that the request did not run.
     """
+    is_stated = names.NOT_EXECUTED_HEADER in headers
     return AnswerHeaders(
         is_signed=names.SIGNATURE_HEADER in headers,
-        has_not_run=names.NOT_EXECUTED_HEADER in headers
-        or status == OTHER_SERVER_STATUS,
+        has_not_run=is_stated or status == OTHER_SERVER_STATUS,
+        is_stated=is_stated,
         is_other_server=status == OTHER_SERVER_STATUS,
         load=_parse_load(headers.get(names.LOAD_HEADER, "")),
         server_limit=_parse_limit(headers.get(names.SERVER_LIMIT_HEADER, "")),
