--- a/tests/edge/faultyserver.py
+++ b/tests/edge/faultyserver.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from cowslipshift.platform import names
+from cowslipshift.standins import platformfleet
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -138,3 +139,38 @@
         f"HTTP/1.1 {status} X\r\n{names.REQUEST_ID_HEADER}: {request_id}\r\n"
         f"{names.NOT_EXECUTED_HEADER}: 1\r\nContent-Length: 0\r\n\r\n"
     ).encode()
+
+
+async def replace_servers(
+    fleet: platformfleet.PlatformFleet,
+    *servers: FaultyServer,
+    service: str = platformfleet.WRITE_SERVICE,
+) -> None:
+    """Let faulty servers run a service in place of the fleet's own."""
+    await replace_addresses(
+        fleet, *(server.address for server in servers), service=service
+    )
+
+
+async def replace_addresses(
+    fleet: platformfleet.PlatformFleet,
+    *addresses: str,
+    service: str = platformfleet.WRITE_SERVICE,
+) -> None:
+    """Register servers at some addresses in place of a service's own."""
+    for identity, (own_service, _) in fleet.backend_locations.items():
+        if own_service == service:
+            fleet.store.delete(names.BACKEND_PREFIX + identity)
+    any_backend = next(iter(fleet.backends.values()))
+    for number, address in enumerate(addresses):
+        fleet.store.put(
+            f"{names.BACKEND_PREFIX}faulty-{service}-{number}",
+            any_backend.build_entry(address, service, "north-a"),
+        )
+    inventory = fleet.hosts[0].balancer.inventory
+    await platformfleet.wait_until(
+        lambda: (
+            {state.entry.address for state in inventory.list_servers(service)}
+            == set(addresses)
+        )
+    )
--- a/tests/edge/rawcaller.py
+++ b/tests/edge/rawcaller.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from typing import Any
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -140,3 +141,22 @@
         f"{framing}\r\n{extra}\r\n"
     )
     return head.encode() + body
+
+
+async def send_one(
+    fleet: platformfleet.PlatformFleet,
+    request_id: str,
+    is_write: bool = True,
+    **options: Any,
+) -> RawAnswer:
+    """Send one request to a fleet's first host and read the answer.
+
+    Args:
+        fleet: The fleet.
+        request_id: Id of the request.
+        is_write: Whether it goes to the route that is not idempotent.
+        **options: Further arguments of `build_request`.
+    """
+    async with RawCaller(fleet.hosts[0]) as caller:
+        caller.send(build_request(request_id, is_write=is_write, **options))
+        return await caller.read_answer()
--- a/tests/edge/test_faulty_backends.py
+++ b/tests/edge/test_faulty_backends.py
@@ -32,39 +32,6 @@
         yield started
 
 
-async def replace_servers(fleet, *servers: faultyserver.FaultyServer) -> None:
-    """Let faulty servers run the orders in place of the fleet's own."""
-    for identity, (service, _) in fleet.backend_locations.items():
-        if service == platformfleet.WRITE_SERVICE:
-            fleet.store.delete(names.BACKEND_PREFIX + identity)
-    any_backend = next(iter(fleet.backends.values()))
-    for number, server in enumerate(servers):
-        fleet.store.put(
-            f"{names.BACKEND_PREFIX}faulty-{number}",
-            any_backend.build_entry(
-                server.address, platformfleet.WRITE_SERVICE, "north-a"
-            ),
-        )
-    inventory = fleet.hosts[0].balancer.inventory
-    await platformfleet.wait_until(
-        lambda: (
-            {
-                state.entry.address
-                for state in inventory.list_servers(
-                    platformfleet.WRITE_SERVICE
-                )
-            }
-            == {server.address for server in servers}
-        )
-    )
-
-
-async def send_write(fleet, request_id: str) -> rawcaller.RawAnswer:
-    async with rawcaller.RawCaller(fleet.hosts[0]) as caller:
-        caller.send(rawcaller.build_request(request_id, is_write=True))
-        return await caller.read_answer()
-
-
 def shed_first_and_repeat(delay_s: float):
     """Shed the first request, run the others; write the refusal twice."""
 
@@ -90,10 +57,10 @@
         faultyserver.FaultyServer(script) as first,
         faultyserver.FaultyServer(shed_all) as second,
     ):
-        await replace_servers(fleet, first, second)
-        assert (await send_write(fleet, "w0")).status == 503
+        await faultyserver.replace_servers(fleet, first, second)
+        assert (await rawcaller.send_one(fleet, "w0")).status == 503
         await asyncio.sleep(wait_s)
-        answer = await send_write(fleet, "w1")
+        answer = await rawcaller.send_one(fleet, "w1")
         ran = first.request_ids[1:].count("w1")
         assert (answer.status == 200) == (answer.body == b"ran w1")
         if ran:
@@ -121,8 +88,8 @@
         faultyserver.FaultyServer(script) as first,
         faultyserver.FaultyServer(script) as second,
     ):
-        await replace_servers(fleet, first, second)
-        assert (await send_write(fleet, "w")).status == 502
+        await faultyserver.replace_servers(fleet, first, second)
+        assert (await rawcaller.send_one(fleet, "w")).status == 502
         assert len(first.request_ids + second.request_ids) == 1
 
 
