Pass on no server's status that promises what the server did not state

A statement was believed on any status, also beside a signature. Status, statement and signature now have to agree; what they leave open ends as 502, or is tried elsewhere if the route allows that.

--- a/src/cowslipshift/edge/attempts.py
+++ b/src/cowslipshift/edge/attempts.py
@@ -225,6 +225,9 @@
             self._record_limit(choice, answer_headers.server_limit)
             self._record_signals(choice, answer_headers)
         self._sent += 1
+        if not answer_headers.is_consistent:
+            self._reject_answer(choice, "contradictory answer")
+            return None
         if answer_headers.has_not_run:
             self._record_shed(choice, answer.status, answer_headers.is_stated)
             if answer_headers.is_other_server:
@@ -233,12 +236,7 @@
         self._may_have_run = True
         is_success = 200 <= answer.status < 300
         if is_success and not answer_headers.is_signed:
-            error = exceptions.AnswerLostError("unsigned answer", False)
-            self._record_failure(choice, error, is_down=False)
-            if not state.is_cold(now):
-                self._record_version_outcome(choice, is_bad=True)
-            if not call.route.is_idempotent:
-                raise self._build_unknown(is_timeout=False)
+            self._reject_answer(choice, "unsigned answer")
             return None
         is_bad = answer.status >= 500
         self._record_answer(choice, answer.took_s, is_bad)
@@ -247,6 +245,20 @@
             return None
         return self._pass_on(choice, answer)
 
+    def _reject_answer(self, choice: calls.Choice, reason: str) -> None:
+        """Treat an answer as lost, as it does not tell what came of a request.
+
+        Raises:
+            Refused: The request may not be sent again.
+        """
+        self._may_have_run = True
+        error = exceptions.AnswerLostError(reason, False)
+        self._record_failure(choice, error, is_down=False)
+        if not choice.state.is_cold(self._deps.clock.now()):
+            self._record_version_outcome(choice, is_bad=True)
+        if not self._call.route.is_idempotent:
+            raise self._build_unknown(is_timeout=False)
+
     def _pass_on(
         self, choice: calls.Choice, answer: upstream.Answer
     ) -> web.Response:
--- a/src/cowslipshift/platform/ingress.py
+++ b/src/cowslipshift/platform/ingress.py
@@ -62,6 +62,12 @@
 """Larger numbers in a load report are a fault of the server."""
 
 UNAVAILABLE_STATUS = 503
+PROMISE_STATUSES = frozenset(
+    {408, OTHER_SERVER_STATUS, 429, UNAVAILABLE_STATUS}
+)
+"""Statuses that promise the client that its request never runs."""
+
+FIRST_ERROR_STATUS = 400
 MAX_SERVER_WAIT_S = 3600.0
 """Longer waits that a server asks for are cut to this."""
 
@@ -93,6 +99,8 @@
         is_signed: Whether the server signed the answer.
         has_not_run: Whether the server states that the request did not run.
         is_stated: Whether a header states it, rather than the status alone.
+        is_consistent: Whether status, statement and signature agree on
+            whether the request ran.
         is_other_server: Whether another server than the one asked for answers.
         load: Numbers of running and queued requests, if reported.
         server_limit: Requests a second that the server takes from all hosts
@@ -105,6 +113,7 @@
     is_signed: bool
     has_not_run: bool
     is_stated: bool
+    is_consistent: bool
     is_other_server: bool
     load: tuple[int, int] | None
     server_limit: float | None = None
@@ -175,11 +184,16 @@
 
     Status 421 also means that the request did not run.
     """
+    is_signed = names.SIGNATURE_HEADER in headers
     is_stated = names.NOT_EXECUTED_HEADER in headers
+    has_not_run = is_stated or status == OTHER_SERVER_STATUS
     return AnswerHeaders(
-        is_signed=names.SIGNATURE_HEADER in headers,
-        has_not_run=is_stated or status == OTHER_SERVER_STATUS,
+        is_signed=is_signed,
+        has_not_run=has_not_run,
         is_stated=is_stated,
+        is_consistent=status >= FIRST_ERROR_STATUS and not is_signed
+        if has_not_run
+        else status not in PROMISE_STATUSES,
         is_other_server=status == OTHER_SERVER_STATUS,
         load=_parse_load(headers.get(names.LOAD_HEADER, "")),
         server_limit=_parse_limit(headers.get(names.SERVER_LIMIT_HEADER, "")),
