Take no switch of protocols for an answer

The answer now counts as lost, in both interfaces. tests/edge/test_refusals switch_of_protocols failed before.

--- a/src/cowslipshift/connections.py
+++ b/src/cowslipshift/connections.py
@@ -74,6 +74,20 @@
         self._factory: Any = functools.partial(connection, loop=self._loop)
 
 
+def check_final(response: aiohttp.ClientResponse) -> None:
+    """Close the connection of an answer that switches to another protocol.
+
+    Raises:
+        ClientPayloadError: The answer is not a final one.
+    """
+    if response.status >= FIRST_FINAL_STATUS:
+        return
+    response.close()
+    raise aiohttp.ClientPayloadError(
+        f"status {response.status} is no final answer"
+    )
+
+
 def open_control_session() -> aiohttp.ClientSession:
     """Open a session for calls to the store and to other hosts.
 
--- a/src/cowslipshift/edge/upstream.py
+++ b/src/cowslipshift/edge/upstream.py
@@ -239,6 +239,7 @@
                     if not is_own(response.headers):
                         response.close()
                         raise exceptions.ForeignAnswerError()
+                    connections.check_final(response)
                     content = await self._read_body(response)
                     return Answer(response.status, response.headers, content)
         except (
--- a/src/cowslipshift/serving/backend/attempt.py
+++ b/src/cowslipshift/serving/backend/attempt.py
@@ -9,6 +9,7 @@
 import aiohttp
 import yarl
 
+from cowslipshift import connections
 from cowslipshift.serving import calls
 from cowslipshift.serving.backend import backends
 
@@ -162,6 +163,7 @@
                 )
             finally:
                 detector.cancel()
+        connections.check_final(response)
         _check_answers(call, response)
         return response
 
