Believe only servers' statements on the own interface, not statuses

Such a status without the server's statement now counts as a lost answer: tried elsewhere within the budget if idempotent, 502 otherwise. On a kept connection a rejection has to name its request.

--- a/src/cowslipshift/connections.py
+++ b/src/cowslipshift/connections.py
@@ -14,12 +14,11 @@
 import aiohttp
 from aiohttp import client_proto
 
+from cowslipshift import statuses
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-FIRST_FINAL_STATUS = 200
-"""Answers below this status are interim; another one follows."""
-
 
 class GuardedConnection(client_proto.ResponseHandler):
     """A connection that is closed when bytes arrive while no request waits.
@@ -38,7 +37,7 @@
     def feed_data(self, data: Any, size: int = 0) -> None:
         """Note whether the head of a final answer has arrived."""
         message, _ = data
-        if message.code >= FIRST_FINAL_STATUS:
+        if message.code >= statuses.FIRST_FINAL:
             self._has_final_head = True
         super().feed_data(data, size)
 
@@ -80,7 +79,7 @@
     Raises:
         ClientPayloadError: The answer is not a final one.
     """
-    if response.status >= FIRST_FINAL_STATUS:
+    if response.status >= statuses.FIRST_FINAL:
         return
     response.close()
     raise aiohttp.ClientPayloadError(
--- a/src/cowslipshift/platform/ingress.py
+++ b/src/cowslipshift/platform/ingress.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from cowslipshift import statuses
 from cowslipshift.platform import names
 
 if TYPE_CHECKING:
@@ -54,20 +55,10 @@
 )
 """Headers that `Connection` cannot declare to concern one connection only."""
 
-OTHER_SERVER_STATUS = 421
-"""Answer of a server that is not the one that the request names."""
-
 MAX_DEADLINE_S = 3600.0
 MAX_REPORTED_LOAD = 100_000
 """Larger numbers in a load report are a fault of the server."""
 
-UNAVAILABLE_STATUS = 503
-PROMISE_STATUSES = frozenset(
-    {408, OTHER_SERVER_STATUS, 429, UNAVAILABLE_STATUS}
-)
-"""Statuses that promise the client that its request never runs."""
-
-FIRST_ERROR_STATUS = 400
 MAX_SERVER_WAIT_S = 3600.0
 """Longer waits that a server asks for are cut to this."""
 
@@ -186,20 +177,20 @@
     """
     is_signed = names.SIGNATURE_HEADER in headers
     is_stated = names.NOT_EXECUTED_HEADER in headers
-    has_not_run = is_stated or status == OTHER_SERVER_STATUS
+    has_not_run = is_stated or status == statuses.MISDIRECTED
     return AnswerHeaders(
         is_signed=is_signed,
         has_not_run=has_not_run,
         is_stated=is_stated,
-        is_consistent=status >= FIRST_ERROR_STATUS and not is_signed
+        is_consistent=status >= statuses.FIRST_ERROR and not is_signed
         if has_not_run
-        else status not in PROMISE_STATUSES,
-        is_other_server=status == OTHER_SERVER_STATUS,
+        else status not in statuses.PROMISES,
+        is_other_server=status == statuses.MISDIRECTED,
         load=_parse_load(headers.get(names.LOAD_HEADER, "")),
         server_limit=_parse_limit(headers.get(names.SERVER_LIMIT_HEADER, "")),
         is_leaving=headers.get(names.SERVER_LEAVING_HEADER, "").strip() == "1",
         wait_s=_parse_wait(headers.get(names.RETRY_AFTER_HEADER, ""))
-        if status == UNAVAILABLE_STATUS
+        if status == statuses.UNAVAILABLE
         else 0.0,
     )
 
--- a/src/cowslipshift/serving/backend/attempt.py
+++ b/src/cowslipshift/serving/backend/attempt.py
@@ -10,6 +10,7 @@
 import yarl
 
 from cowslipshift import connections
+from cowslipshift import statuses
 from cowslipshift.serving import calls
 from cowslipshift.serving.backend import backends
 
@@ -96,9 +97,10 @@
             NotStartedError: The server did not run it.
             AnswerLostError: It is not known whether the server ran it.
         """
-        response = await self._open(call, backend, fresh, try_spend)
+        pooled = self._is_pooled(call, backend, fresh)
+        response = await self._open(call, backend, pooled, try_spend)
         stack.callback(self._close, response, backend)
-        self._check_rejected(backend, response)
+        self._check_status(call, backend, response, pooled)
         reply = calls.Reply(
             response.status,
             calls.copy_headers(response),
@@ -117,12 +119,10 @@
         self,
         call: calls.Call,
         backend: backends.Backend,
-        fresh: bool,
+        pooled: bool,
         try_spend: Callable[[], bool],
     ) -> aiohttp.ClientResponse:
         now = self._clock.now()
-        is_pool_suspect = now < backend.pool_suspect_until_s
-        pooled = call.idempotent and not fresh and not is_pool_suspect
         detector = _StallDetector(self._clock, call, backend, try_spend)
         try:
             return await self._request(call, backend, pooled, detector)
@@ -167,18 +167,46 @@
         _check_answers(call, response)
         return response
 
-    def _check_rejected(
-        self, backend: backends.Backend, response: aiohttp.ClientResponse
+    def _is_pooled(
+        self, call: calls.Call, backend: backends.Backend, fresh: bool
+    ) -> bool:
+        """Tell whether an attempt may use a kept connection."""
+        is_suspect = self._clock.now() < backend.pool_suspect_until_s
+        return call.idempotent and not fresh and not is_suspect
+
+    def _check_status(
+        self,
+        call: calls.Call,
+        backend: backends.Backend,
+        response: aiohttp.ClientResponse,
+        pooled: bool,
     ) -> None:
-        if response.status != 503:
+        """Tell rejections from answers to requests that ran.
+
+        On a kept connection, a rejection that does not name the request may
+        be one of an earlier request.
+
+        Raises:
+            AttemptRejectedError: The server states that it did not run it.
+            AnswerLostError: The status promises what the server did not
+                state.
+        """
+        if response.status not in statuses.PROMISES:
             return
-        now = self._clock.now()
-        if DRAIN_HEADER in response.headers:
-            backend.record_draining(now)
-            raise AttemptRejectedError("the server is draining")
-        if SHED_HEADER in response.headers:
-            backend.hold_slot(now + SHED_SLOT_HOLD_S)
-            raise AttemptRejectedError("the server is shedding load")
+        is_named = response.headers.get(REQUEST_ID_HEADER) == call.id
+        if response.status == statuses.UNAVAILABLE and (
+            is_named or not pooled
+        ):
+            now = self._clock.now()
+            if DRAIN_HEADER in response.headers:
+                backend.record_draining(now)
+                raise AttemptRejectedError("the server is draining")
+            if SHED_HEADER in response.headers:
+                backend.hold_slot(now + SHED_SLOT_HOLD_S)
+                raise AttemptRejectedError("the server is shedding load")
+        raise AnswerLostError(
+            f"status {response.status} without a statement", True
+        )
 
     async def _read(
         self, call: calls.Call, backend: backends.Backend, reply: calls.Reply
--- a/src/cowslipshift/standins/backend.py
+++ b/src/cowslipshift/standins/backend.py
@@ -34,6 +34,7 @@
         draining: Refuse new requests with 503 and a drain header.
         silent: Accept requests and never answer.
         silent_old: Never answer on connections opened before this was set.
+        status: Status code of the answers to requests that succeed.
         health: Status code of the health endpoint.
         reported_load: Load to report; ``None`` for the actual load.
         answer_bytes: Size of the answer to a request without a body.
@@ -51,6 +52,7 @@
     draining: bool = False
     silent: bool = False
     silent_old: bool = False
+    status: int = 200
     health: int = 200
     reported_load: float | None = None
     answer_bytes: int = 64
@@ -151,12 +153,10 @@
         self._transports.add(request.transport)
         if behaviour.draining:
             self.drain_refusal_count += 1
-            return web.Response(
-                status=503, headers={"X-Backend-Draining": "true"}
-            )
+            return _build_rejection(request, "X-Backend-Draining")
         if behaviour.shed_above and self.in_flight >= behaviour.shed_above:
             self.shed_count += 1
-            return web.Response(status=503, headers={"X-Backend-Shed": "true"})
+            return _build_rejection(request, "X-Backend-Shed")
         record = self._add_record(request)
         self.in_flight += 1
         self.max_in_flight = max(self.max_in_flight, self.in_flight)
@@ -202,7 +202,7 @@
         )
         record.outcome = "failed" if fails else "done"
         return web.Response(
-            status=500 if fails else 200,
+            status=500 if fails else behaviour.status,
             body=body or b"x" * behaviour.answer_bytes,
             headers={
                 "X-Backend-Server": self.name,
@@ -224,3 +224,11 @@
                 1 - age_s / behaviour.cold_for_s
             )
         return service_ms / 1000
+
+
+def _build_rejection(request: web.Request, word: str) -> web.Response:
+    """Build the answer to a request that does not run."""
+    request_id = request.headers.get("X-Request-Id", "")
+    return web.Response(
+        status=503, headers={word: "true", "X-Request-Id": request_id}
+    )
--- /dev/null
+++ b/src/cowslipshift/statuses.py
@@ -0,0 +1,18 @@
+"""HTTP statuses that say something of whether a request ran."""
+
+from __future__ import annotations
+
+REQUEST_TIMEOUT = 408
+MISDIRECTED = 421
+TOO_MANY_REQUESTS = 429
+UNAVAILABLE = 503
+
+PROMISES = frozenset(
+    {REQUEST_TIMEOUT, MISDIRECTED, TOO_MANY_REQUESTS, UNAVAILABLE}
+)
+"""Statuses that promise the caller that its request never runs."""
+
+FIRST_FINAL = 200
+"""Answers below this status are interim; another one follows."""
+
+FIRST_ERROR = 400
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -12,6 +12,7 @@
 import yarl
 
 from cowslipshift.config import model
+from cowslipshift.serving import calls as serving_calls
 from cowslipshift.serving.entry import idempotency
 from cowslipshift.standins import deployments
 from cowslipshift.standins import portreservations
@@ -322,3 +323,22 @@
         now,
     )
     return msgspec.structs.replace(call, **fields)
+
+
+def build_call(**fields: Any) -> serving_calls.Call:
+    """Build a call as hosts process it, with some fields replaced."""
+    base: dict[str, Any] = {
+        "id": "r1",
+        "service": "approvals",
+        "route": "/orders",
+        "method": "POST",
+        "path": "/orders",
+        "headers": [],
+        "body": serving_calls.Body(b""),
+        "account": ACCOUNT,
+        "key_id": f"{ACCOUNT}-1",
+        "key": make_key(),
+        "idempotent": False,
+        "deadline_s": 0.0,
+    }
+    return serving_calls.Call(**{**base, **fields})
--- a/tests/edge/faultyserver.py
+++ b/tests/edge/faultyserver.py
@@ -133,6 +133,14 @@
     ).encode() + body
 
 
+def build_plain_answer(status: int, *lines: str, body: bytes = b"no") -> bytes:
+    """Return an answer with some header lines."""
+    head = "\r\n".join(
+        (f"HTTP/1.1 {status} X", f"Content-Length: {len(body)}", *lines)
+    )
+    return f"{head}\r\n\r\n".encode() + body
+
+
 def build_shed_answer(request_id: str, status: int = 503) -> bytes:
     """Return the answer that the request was not executed."""
     return (
--- /dev/null
+++ b/tests/serving/test_refused_attempts.py
@@ -0,0 +1,122 @@
+"""What a server says of an attempt that it ran.
+
+The servers of these tests count each request as run, whatever they answer.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import time
+
+import pytest
+from tests import builders
+from tests.edge import faultyserver
+
+from cowslipshift import clock as clocks
+from cowslipshift import statuses
+from cowslipshift.config import model
+from cowslipshift.serving import calls
+from cowslipshift.serving.backend import attempt
+from cowslipshift.serving.backend import backends
+from cowslipshift.serving.backend import transport
+
+PROMISES = sorted(statuses.PROMISES)
+TIMEOUT_S = 5.0
+
+
+def name_request(headers: dict[str, str]) -> str:
+    return f"X-Request-Id: {headers['x-request-id']}"
+
+
+async def send(
+    address: str, is_idempotent: bool = False, requests: int = 1
+) -> calls.Reply:
+    """Send requests to a server one after the other; return the last reply."""
+    sessions = transport.Sessions()
+    client = attempt.BackendClient(clocks.SystemClock(), sessions)
+    backend = backends.Backend(
+        model.Server(
+            name="s1",
+            service="approvals",
+            data_centre="north-a",
+            url=f"http://{address}",
+            slots=2,
+        ),
+        0.0,
+        False,
+    )
+    try:
+        for number in range(requests):
+            call = builders.build_call(
+                id=f"r{number}",
+                idempotent=is_idempotent,
+                deadline_s=time.monotonic() + TIMEOUT_S,
+            )
+            async with contextlib.AsyncExitStack() as stack:
+                reply = await client.send(
+                    call, backend, False, stack, lambda: False
+                )
+                await reply.read()
+        return reply
+    finally:
+        await sessions.close()
+
+
+# Guards against REFUSED: a server runs an order and answers it with a status
+# that promises the caller that it never runs.
+@pytest.mark.parametrize("status", [*PROMISES, 101])
+@pytest.mark.parametrize("is_idempotent", [True, False])
+async def test_status_of_a_request_that_ran_is_no_answer(
+    status, is_idempotent
+) -> None:
+    def script(headers, number) -> list[faultyserver.Step]:
+        return [
+            faultyserver.Step(
+                faultyserver.build_plain_answer(status, name_request(headers))
+            )
+        ]
+
+    async with faultyserver.FaultyServer(script) as server:
+        with pytest.raises(attempt.AnswerLostError):
+            await send(server.address, is_idempotent)
+
+
+# Guards against REFUSED: an earlier refusal, written once more on a kept
+# connection, is believed by a request that the server runs.
+@pytest.mark.parametrize("word", [attempt.SHED_HEADER, attempt.DRAIN_HEADER])
+async def test_refusal_that_may_be_of_an_earlier_request_is_not_believed(
+    word,
+) -> None:
+    def script(headers, number) -> list[faultyserver.Step]:
+        if number == 0:
+            return [
+                faultyserver.Step(
+                    faultyserver.build_plain_answer(200, name_request(headers))
+                )
+            ]
+        return [
+            faultyserver.Step(
+                faultyserver.build_plain_answer(503, f"{word}: true")
+            )
+        ]
+
+    async with faultyserver.FaultyServer(script) as server:
+        with pytest.raises(attempt.AnswerLostError):
+            await send(server.address, is_idempotent=True, requests=2)
+        assert server.connections == 1
+
+
+@pytest.mark.parametrize("is_idempotent", [True, False])
+@pytest.mark.parametrize("word", [attempt.SHED_HEADER, attempt.DRAIN_HEADER])
+async def test_refusal_that_names_the_request_is_believed(
+    word, is_idempotent
+) -> None:
+    def script(headers, number) -> list[faultyserver.Step]:
+        lines = (f"{word}: true", name_request(headers))
+        return [
+            faultyserver.Step(faultyserver.build_plain_answer(503, *lines))
+        ]
+
+    async with faultyserver.FaultyServer(script) as server:
+        with pytest.raises(attempt.AttemptRejectedError):
+            await send(server.address, is_idempotent)
--- a/tests/system/test_request_bodies.py
+++ b/tests/system/test_request_bodies.py
@@ -109,20 +109,7 @@
 
 def build_forwarded_headers(timeout_s: float) -> dict[str, str]:
     """Build the headers of an order that another host forwards."""
-    call = calls.Call(
-        id="forwarded",
-        service="approvals",
-        route="/orders",
-        method="POST",
-        path="/orders",
-        headers=[],
-        body=calls.Body(b""),
-        account=builders.ACCOUNT,
-        key_id=f"{builders.ACCOUNT}-1",
-        key=builders.make_key(),
-        idempotent=False,
-        deadline_s=0.0,
-    )
+    call = builders.build_call(id="forwarded")
     headers = wire.build_headers(
         call,
         remaining_s=timeout_s,
