Believe another host's refusal only if its body makes the promise

A host passed on 503 for a request that another host had refused as one that may have run, or that it had answered with a server's own status, and a refusal that broke off ended as an internal error. All end as 502 or as a lost forward now.

--- a/src/cowslipshift/serving/backend/forwarding.py
+++ b/src/cowslipshift/serving/backend/forwarding.py
@@ -11,6 +11,7 @@
 import msgspec
 import yarl
 
+from cowslipshift import statuses
 from cowslipshift.coordination import attempts
 from cowslipshift.peers import credentials
 from cowslipshift.serving import calls
@@ -183,9 +184,12 @@
     ) -> calls.Reply:
         result = response.headers.get(wire.RESULT_HEADER)
         if result != wire.RESULT_ANSWERED:
-            raw = await response.read()
+            raise await self._read_refusal(response, stack)
+        if response.status in statuses.PROMISES:
             await stack.aclose()
-            raise refusals.decode_refusal(response.status, raw)
+            raise refusals.refuse_unknown_outcome(
+                f"a backend server answered with status {response.status}"
+            )
         reply = calls.Reply(
             response.status,
             [
@@ -207,6 +211,18 @@
                 raise ForwardFailedError(repr(error), False) from error
         return reply
 
+    async def _read_refusal(
+        self,
+        response: aiohttp.ClientResponse,
+        stack: contextlib.AsyncExitStack,
+    ) -> refusals.Refusal:
+        async with stack:
+            try:
+                raw = await response.read()
+            except (aiohttp.ClientError, OSError, TimeoutError) as error:
+                raise ForwardFailedError(repr(error), False) from error
+        return refusals.decode_refusal(response.status, raw)
+
     async def _recall(
         self, address: str, attempt: str, sent_s: float, call: calls.Call
     ) -> bool:
--- a/src/cowslipshift/serving/refusals.py
+++ b/src/cowslipshift/serving/refusals.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from cowslipshift import exceptions
+from cowslipshift import statuses
 
 
 class Refusal(exceptions.CowslipshiftError):
@@ -58,14 +59,17 @@
 def decode_refusal(status: int, raw: bytes) -> Refusal:
     """Decode a refusal that another host sent.
 
-    A malformed body becomes a refusal that says that the outcome is unknown.
+    A malformed body, or a status that promises more than the body does,
+    becomes a refusal that says that the outcome is unknown.
     """
     try:
         body = msgspec.json.decode(raw, type=dict[str, RefusalBody])["error"]
-    except (msgspec.DecodeError, KeyError):
+    except (msgspec.DecodeError, KeyError, RecursionError):
         return refuse_unknown_outcome(
             "another host sent a malformed error response"
         )
+    if status in statuses.PROMISES and not body.not_run:
+        return refuse_unknown_outcome(body.message)
     return Refusal(
         status,
         body.code,
