Keep in mind that a lost forward may have run when the next host refuses

A host that had lost a forwarded request, and was then refused by the next host, told its caller 503 'not run' although the first host may have run it: the loop over hosts kept the last refusal only. Idempotent requests only, as others are not forwarded twice.

--- a/src/cowslipshift/serving/decision/router.py
+++ b/src/cowslipshift/serving/decision/router.py
@@ -110,6 +110,7 @@
         )
         candidates = self._list_candidates(self._config_index, call)
         refusal: refusals.Refusal | None = None
+        may_have_run = False
         for candidate in candidates[:MAX_CANDIDATES]:
             if not self._reserve_bandwidth(call, candidate):
                 continue
@@ -120,12 +121,19 @@
                     not error.not_run
                     or error.code not in RETRY_ELSEWHERE_CODES
                 ):
+                    if may_have_run:
+                        raise _refuse_retry() from error
                     raise
                 refusal = error
             except forwarding.ForwardFailedError as error:
-                self._handle_failed_forward(call, candidate, error, budget)
+                may_have_run = may_have_run or not error.not_run
+                self._handle_failed_forward(
+                    call, candidate, error, may_have_run, budget
+                )
             if not call.body.is_replayable:
                 break
+        if may_have_run:
+            raise _refuse_retry()
         raise refusal or refusals.refuse_overloaded(
             f"no region has capacity for service {call.service}"
         )
@@ -204,8 +212,14 @@
         call: calls.Call,
         candidate: selection.Candidate,
         error: forwarding.ForwardFailedError,
+        may_have_run: bool,
         budget: budgets.RetryBudget,
     ) -> None:
+        """Tell by returning that the next host may be tried.
+
+        Raises:
+            Refusal: No other host may be tried.
+        """
         self._log.info(
             "forward_lost",
             request=call.id,
@@ -214,9 +228,9 @@
             reason=error,
         )
         if self._clock.now() >= call.deadline_s:
-            if error.not_run:
-                raise refusals.refuse_expired() from error
-            raise refusals.refuse_timeout() from error
+            if may_have_run:
+                raise refusals.refuse_timeout() from error
+            raise refusals.refuse_expired() from error
         if error.not_run:
             return
         if not call.idempotent or not budget.try_spend():
@@ -224,3 +238,10 @@
                 "the connection to another host was lost"
             ) from error
         self._metrics.count(self._metrics.retries, reason="forward")
+
+
+def _refuse_retry() -> refusals.Refusal:
+    """Report that no host answered a request that an earlier one may run."""
+    return refusals.refuse_unknown_outcome(
+        "an earlier host may have run the request, and no other answered"
+    )
