Believe only rejections that name their request, on any connection

A server that writes a rejection before it has read the request, as on a connection that it has just accepted, could run the request behind a rejection that was believed (REFUSED).

--- a/src/cowslipshift/serving/backend/attempt.py
+++ b/src/cowslipshift/serving/backend/attempt.py
@@ -97,10 +97,9 @@
             NotStartedError: The server did not run it.
             AnswerLostError: It is not known whether the server ran it.
         """
-        pooled = self._is_pooled(call, backend, fresh)
-        response = await self._open(call, backend, pooled, try_spend)
+        response = await self._open(call, backend, fresh, try_spend)
         stack.callback(self._close, response, backend)
-        self._check_status(call, backend, response, pooled)
+        self._check_status(call, backend, response)
         reply = calls.Reply(
             response.status,
             calls.copy_headers(response),
@@ -119,10 +118,12 @@
         self,
         call: calls.Call,
         backend: backends.Backend,
-        pooled: bool,
+        fresh: bool,
         try_spend: Callable[[], bool],
     ) -> aiohttp.ClientResponse:
         now = self._clock.now()
+        is_pool_suspect = now < backend.pool_suspect_until_s
+        pooled = call.idempotent and not fresh and not is_pool_suspect
         detector = _StallDetector(self._clock, call, backend, try_spend)
         try:
             return await self._request(call, backend, pooled, detector)
@@ -167,24 +168,13 @@
         _check_answers(call, response)
         return response
 
-    def _is_pooled(
-        self, call: calls.Call, backend: backends.Backend, fresh: bool
-    ) -> bool:
-        """Tell whether an attempt may use a kept connection."""
-        is_suspect = self._clock.now() < backend.pool_suspect_until_s
-        return call.idempotent and not fresh and not is_suspect
-
     def _check_status(
         self,
         call: calls.Call,
         backend: backends.Backend,
         response: aiohttp.ClientResponse,
-        pooled: bool,
     ) -> None:
-        """Tell rejections from answers to requests that ran.
-
-        On a kept connection, a rejection that does not name the request may
-        be one of an earlier request.
+        """Tell rejections, which name the request, from other answers.
 
         Raises:
             AttemptRejectedError: The server states that it did not run it.
@@ -194,9 +184,7 @@
         if response.status not in statuses.PROMISES:
             return
         is_named = response.headers.get(REQUEST_ID_HEADER) == call.id
-        if response.status == statuses.UNAVAILABLE and (
-            is_named or not pooled
-        ):
+        if response.status == statuses.UNAVAILABLE and is_named:
             now = self._clock.now()
             if DRAIN_HEADER in response.headers:
                 backend.record_draining(now)
