Parse answers a part at a time, and limit what surrounds their bodies

Forty servers that sent interim answers, small chunks or second answers without end held a host's event loop for 2.9 to 5.4 s, added up to 252 MB, and outlasted the time limit of 2 s by up to 5.8 s: whatever had arrived was parsed at once, and all interim answers of a request were kept. A connection now parses up to 64 KiB of a body, and 1 KiB of anything else, in a turn of the event loop, and is closed behind 64 KiB of framing beyond the length of the body, or 32 interim answers.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -11,6 +11,7 @@
 import fire
 import msgspec
 
+from bench import answers
 from bench import fairness
 from bench import logging
 from bench import lookups
@@ -44,6 +45,24 @@
 class Bench:
     """Measurements on daemons over loopback; each compares two variants."""
 
+    def answers(
+        self,
+        count: int = 40,
+        peer: str = "",
+        way: str = "",
+        save: bool = False,
+    ) -> None:
+        """What answers without an end take: memory, event loop, time.
+
+        Args:
+            count: Calls at a time.
+            peer: The only kind of peer to play.
+            way: The only way to play.
+            save: Keep the result in docs/measurements.
+        """
+        peers, ways = (peer,) if peer else (), (way,) if way else ()
+        _report("answers", answers.measure(count, peers, ways), save)
+
     def lookups(
         self, seconds: float = 5.0, connections: int = 8, save: bool = False
     ) -> None:
--- a/src/cowslipshift/connections.py
+++ b/src/cowslipshift/connections.py
@@ -17,21 +17,51 @@
 from cowslipshift import statuses
 
 if TYPE_CHECKING:
+    import asyncio
     from collections.abc import Callable
 
 
+FIRST_PART_BYTES = 4096
+MIN_PART_BYTES = 1024
+MAX_PART_BYTES = 65_536
+"""Bytes that are parsed at a time: more of a body, less of all else."""
+
+MIN_BODY_FRACTION = 0.9
+"""Parts of which less is body take a turn of the event loop each."""
+
+MAX_FRAMING_BYTES = 65_536
+"""Largest sum of heads, interim answers, blank lines, framing of chunks and
+trailers of one answer. A body in small chunks may have as much again as it is
+long."""
+
+MAX_INTERIM_ANSWERS = 32
+
+
 class GuardedConnection(client_proto.ResponseHandler):
-    """A connection that is closed when bytes arrive while no request waits.
+    """A connection that limits what a peer may send, and when.
 
     aiohttp would take a second copy of an answer, sent late on a kept
-    connection, for the answer to the next request.
+    connection, for the answer to the next request. It keeps all interim
+    answers of one request, and parses whatever has arrived at once, however
+    many heads and chunks that is. Here the parser gets a part at a time, and
+    other connections have their turn behind parts that hold much framing.
     """
 
-    _has_final_head = False
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        super().__init__(loop)
+        self._has_final_head = False
+        self._deferred = b""
+        self._part_bytes = FIRST_PART_BYTES
+        self._is_continuing = False
+        self._parsed_bytes = 0
+        self._interim_answers = 0
 
     def set_response_params(self, **params: Any) -> None:
         """Prepare for the answer to another request."""
         self._has_final_head = False
+        self._parsed_bytes = 0
+        self._interim_answers = 0
+        self._part_bytes = FIRST_PART_BYTES
         super().set_response_params(**params)
 
     def feed_data(self, data: Any, size: int = 0) -> None:
@@ -39,16 +69,107 @@
         message, _ = data
         if message.code >= statuses.FIRST_FINAL:
             self._has_final_head = True
+        else:
+            self._interim_answers += 1
         super().feed_data(data, size)
 
     def data_received(self, data: bytes) -> None:
-        """Close the connection if the answer is already complete."""
-        if data and self._is_answered:
+        """Parse what has arrived, as far as this turn of the loop allows.
+
+        Without data, the parser goes on with what it holds.
+        """
+        if not data or self._upgraded or self._payload_parser is not None:
+            super().data_received(data)
+            self._continue_later()
+            return
+        if not self._deferred and len(data) <= self._part_bytes:
+            self._parse(data)
+            return
+        self._deferred += data
+        if not self._is_continuing:
+            self._parse_deferred()
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Parse what had arrived before the end."""
+        while self._deferred and exc is None and not self._should_close_now:
+            self._parse(self._take_part())
+        self._deferred = b""
+        super().connection_lost(exc)
+
+    def fail(self, reason: str) -> None:
+        """Fail the answer that is being read and close the connection."""
+        error = aiohttp.ClientPayloadError(reason)
+        self._deferred = b""
+        if self._payload is not None and not self._payload.is_eof():
+            self._payload.set_exception(error)
+        self.set_exception(error)
+        if self.transport is not None:
+            self.transport.abort()
+
+    def _parse_deferred(self) -> None:
+        self._is_continuing = False
+        while self._deferred and not self._reading_paused:
+            if self._parse(self._take_part()):
+                self._continue_later()
+                break
+        if len(self._deferred) > MAX_PART_BYTES:
+            self._pause_reading_for_buffer()
+        elif self._buffer_paused:
+            self._resume_reading_for_buffer()
+
+    def _continue_later(self) -> None:
+        """Parse the rest in another turn of the loop."""
+        if self._deferred and not self._is_continuing:
+            self._is_continuing = True
+            self._loop.call_soon(self._parse_deferred)
+
+    def _take_part(self) -> bytes:
+        part = self._deferred[: self._part_bytes]
+        self._deferred = self._deferred[self._part_bytes :]
+        return part
+
+    @property
+    def _should_close_now(self) -> bool:
+        return self.transport is None or self.transport.is_closing()
+
+    def _parse(self, part: bytes) -> bool:
+        """Parse a part; return whether it held more than a body.
+
+        The connection is closed if an answer is complete already, or if what
+        surrounds the body exceeds the limits.
+        """
+        if self._is_answered:
+            self._deferred = b""
             self.force_close()
             if self.transport is not None:
                 self.transport.abort()
-            return
-        super().data_received(data)
+            return False
+        body_bytes = self._count_body_bytes()
+        self._parsed_bytes += len(part)
+        super().data_received(part)
+        if self._parser is None or self._should_close_now:
+            self._deferred = b""
+            return False
+        read_bytes = self._count_body_bytes()
+        if not self._upgraded:
+            self._check_framing(read_bytes)
+        has_framing = read_bytes - body_bytes < len(part) * MIN_BODY_FRACTION
+        self._part_bytes = (
+            MIN_PART_BYTES
+            if has_framing
+            else min(2 * self._part_bytes, MAX_PART_BYTES)
+        )
+        return has_framing
+
+    def _count_body_bytes(self) -> int:
+        return 0 if self._payload is None else self._payload.total_bytes
+
+    def _check_framing(self, body_bytes: int) -> None:
+        framing_bytes = self._parsed_bytes - body_bytes
+        if framing_bytes > MAX_FRAMING_BYTES + body_bytes:
+            self.fail(f"{framing_bytes} bytes arrived around a body")
+        elif self._interim_answers > MAX_INTERIM_ANSWERS:
+            self.fail(f"{self._interim_answers} interim answers arrived")
 
     @property
     def _is_answered(self) -> bool:
--- a/src/cowslipshift/edge/upstream.py
+++ b/src/cowslipshift/edge/upstream.py
@@ -113,14 +113,7 @@
         if self._received_bytes <= MAX_RECEIVED_BYTES:
             super().data_received(data)
             return
-        error = aiohttp.ClientPayloadError(
-            f"more than {MAX_RECEIVED_BYTES} bytes arrived"
-        )
-        if self._payload is not None and not self._payload.is_eof():
-            self._payload.set_exception(error)
-        self.set_exception(error)
-        if self.transport is not None:
-            self.transport.abort()
+        self.fail(f"more than {MAX_RECEIVED_BYTES} bytes arrived")
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Fail the answer that is being read if the connection was reset."""
