Limit the bodies of all answers that are read as a whole

All are read through one function now, up to a limit each and a budget for all of a kind: 64 MiB for servers, 32 MiB for the store and hosts. Lines of a watch count too.

--- a/bench/answers.py
+++ b/bench/answers.py
@@ -15,6 +15,7 @@
 import aiohttp
 import msgspec
 
+from cowslipshift import bodies
 from cowslipshift import clock as clocks
 from cowslipshift import connections
 from cowslipshift.config import model
@@ -260,9 +261,13 @@
     return call
 
 
+def _build_budget() -> bodies.ByteBudget:
+    return bodies.ByteBudget(bodies.MAX_CONTROL_BYTES)
+
+
 def _call_platform_host(port: int) -> Call:
     client = peerclient.PeerClient(
-        connections.open_control_session(), lambda *_: None
+        connections.open_control_session(), lambda *_: None, _build_budget()
     )
 
     async def call(number: int) -> str:
@@ -277,6 +282,7 @@
         f"127.0.0.1:{port}",
         connections.open_control_session(),
         lambda *_: None,
+        _build_budget(),
     )
 
     async def call(number: int) -> str:
--- a/src/cowslipshift/bodies.py
+++ b/src/cowslipshift/bodies.py
@@ -7,39 +7,127 @@
 import aiohttp
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import AsyncIterator
 
 
 UNREAD_BODY_STATUSES = (408, 413)
 """Refusals in front of a body that was not read to its end. What follows on
 their connection may be the rest of that body, so it is closed."""
 
+MAX_ANSWER_BYTES = 8 * 1024 * 1024
+"""Largest body of a backend server's answer that is read as a whole."""
+
+MAX_BUFFERED_BYTES = 64 * 1024 * 1024
+"""Bytes of all answers of backend servers, or of other hosts in their name,
+that are being read; hosts have 200 MB and more."""
+
+MAX_CONTROL_BYTES = 32 * 1024 * 1024
+"""Bytes of all answers of the store and of other hosts that are being read:
+several times a page, or the items of a store with 10,000 entries."""
+
+
+class ByteBudget:
+    """Bytes that several answers which are being read may hold together.
+
+    Args:
+        limit: Maximum number of bytes.
+
+    Attributes:
+        used_bytes: Bytes in use.
+    """
+
+    __slots__ = ("_limit", "used_bytes")
+
+    def __init__(self, limit: int) -> None:
+        self.used_bytes = 0
+        self._limit = limit
+
+    def take(self, size: int) -> None:
+        """Count bytes as used.
+
+        Raises:
+            ClientPayloadError: There are not as many left.
+        """
+        if self.used_bytes + size > self._limit:
+            raise aiohttp.ClientPayloadError(
+                f"all answers are larger than {self._limit} bytes"
+            )
+        self.used_bytes += size
+
+    def give_back(self, size: int) -> None:
+        """Count bytes as free again."""
+        self.used_bytes -= size
+
 
 async def read_body(
-    response: aiohttp.ClientResponse,
-    limit: int,
-    on_part: Callable[[int], None] = lambda size: None,
+    response: aiohttp.ClientResponse, limit: int, budget: ByteBudget
 ) -> bytes:
     """Read the complete body of an answer.
 
     Args:
         response: The answer; its connection is closed if it is too large.
         limit: Maximum size of the body, in bytes.
-        on_part: Called with the size of each part that is kept; an error that
-            it raises ends the reading.
+        budget: Counts the body while it is being read.
 
     Raises:
-        ClientPayloadError: The body is larger than the limit.
+        ClientPayloadError: The body is larger than the limit, or than what
+            the budget has left.
     """
     parts = []
     size = 0
-    async for part in response.content.iter_any():
-        size += len(part)
-        if size > limit:
-            response.close()
-            raise aiohttp.ClientPayloadError(
-                f"the answer is larger than {limit} bytes"
-            )
-        on_part(len(part))
-        parts.append(part)
+    try:
+        async for part in response.content.iter_any():
+            _check_size(size + len(part), limit)
+            budget.take(len(part))
+            size += len(part)
+            parts.append(part)
+    except aiohttp.ClientPayloadError:
+        response.close()
+        raise
+    finally:
+        budget.give_back(size)
     return b"".join(parts)
+
+
+async def iterate_lines(
+    response: aiohttp.ClientResponse, limit: int, budget: ByteBudget
+) -> AsyncIterator[bytes]:
+    """Yield the lines of a body as they arrive, without those that are blank.
+
+    Args:
+        response: The answer; its connection is closed if a line is too large.
+        limit: Maximum size of a line, in bytes.
+        budget: Counts the line that is being read.
+
+    Raises:
+        ClientPayloadError: A line is larger than the limit, or than what the
+            budget has left.
+    """
+    line = bytearray()
+    try:
+        async for part in response.content.iter_any():
+            *ends, rest = part.split(b"\n")
+            for end in ends:
+                _check_size(len(line) + len(end), limit)
+                whole = bytes(line) + end
+                budget.give_back(len(line))
+                line.clear()
+                if whole.strip():
+                    yield whole
+            _check_size(len(line) + len(rest), limit)
+            budget.take(len(rest))
+            line += rest
+        if line.strip():
+            yield bytes(line)
+    except aiohttp.ClientPayloadError:
+        response.close()
+        raise
+    finally:
+        budget.give_back(len(line))
+
+
+def _check_size(size: int, limit: int) -> None:
+    if size > limit:
+        raise aiohttp.ClientPayloadError(
+            f"the answer is larger than {limit} bytes"
+        )
--- a/src/cowslipshift/edge/peerclient.py
+++ b/src/cowslipshift/edge/peerclient.py
@@ -15,9 +15,6 @@
 
 PEER_TIMEOUT_S = 0.6
 
-MAX_CHANGES_BYTES = 32 * 1024 * 1024
-"""Several times the items of a store with 10,000 entries."""
-
 
 class PeerClient:
     """Client of the internal HTTP interface of other hosts.
@@ -26,15 +23,18 @@
         session: HTTP session to use; the caller closes it.
         on_fetch: Called with the outcome of each fetch and the size of its
             answer, for metrics.
+        budget: Counts answers while they are read.
     """
 
     def __init__(
         self,
         session: aiohttp.ClientSession,
         on_fetch: Callable[[str, int], None],
+        budget: bodies.ByteBudget,
     ) -> None:
         self._session = session
         self._on_fetch = on_fetch
+        self._budget = budget
 
     async def fetch_changes(
         self, address: str, after: int
@@ -54,7 +54,9 @@
                 params={"after": str(after)},
                 timeout=aiohttp.ClientTimeout(total=PEER_TIMEOUT_S),
             ) as response:
-                raw = await bodies.read_body(response, MAX_CHANGES_BYTES)
+                raw = await bodies.read_body(
+                    response, bodies.MAX_CONTROL_BYTES, self._budget
+                )
                 status = response.status
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
             self._on_fetch("none", 0)
--- a/src/cowslipshift/edge/service.py
+++ b/src/cowslipshift/edge/service.py
@@ -13,6 +13,7 @@
 import aiomisc
 
 from cowslipshift import addresses
+from cowslipshift import bodies
 from cowslipshift import clock as clocks
 from cowslipshift import connections
 from cowslipshift import exceptions as base_exceptions
@@ -227,10 +228,12 @@
             ),
         )
         self._session = connections.open_control_session()
+        budget = bodies.ByteBudget(bodies.MAX_CONTROL_BYTES)
         self._store = stores.PlatformStore(
             settings.platform.address,
             self._session,
             self._metrics.count_store_call,
+            budget,
         )
         self._client = upstream.UpstreamClient(self._balancer.record_connect)
         self._handler = handlers.RequestHandler(
@@ -244,7 +247,9 @@
             self._store,
             self._membership,
             overlay,
-            peerclient.PeerClient(self._session, self._metrics.count_fetch),
+            peerclient.PeerClient(
+                self._session, self._metrics.count_fetch, budget
+            ),
             self._apply_item,
             self._record_store_outage,
             self._send_revision,
--- a/src/cowslipshift/edge/upstream.py
+++ b/src/cowslipshift/edge/upstream.py
@@ -28,16 +28,10 @@
 MAX_IDLE_S = 60.0
 """Longest time that a connection is kept; servers mostly state less."""
 
-MAX_ANSWER_BYTES = 8 * 1024 * 1024
-"""Largest body of an answer. A faulty backend server may send without end."""
-
-MAX_RECEIVED_BYTES = MAX_ANSWER_BYTES + 1024 * 1024
+MAX_RECEIVED_BYTES = bodies.MAX_ANSWER_BYTES + 1024 * 1024
 """Bytes that may arrive for one request, with heads, interim answers and the
 framing of chunks."""
 
-MAX_BUFFERED_BYTES = 64 * 1024 * 1024
-"""Bytes of all answers that are being read; hosts have 200 MB and more."""
-
 SKIPPED_HEADERS = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
 
 
@@ -189,7 +183,7 @@
         on_connect: Callable[[str, float], None] = lambda address, took: None,
     ) -> None:
         self._session = _open_session(on_connect)
-        self._buffered_bytes = 0
+        self._budget = bodies.ByteBudget(bodies.MAX_BUFFERED_BYTES)
 
     async def send(
         self,
@@ -233,7 +227,9 @@
                         response.close()
                         raise exceptions.ForeignAnswerError()
                     connections.check_final(response)
-                    content = await self._read_body(response)
+                    content = await bodies.read_body(
+                        response, bodies.MAX_ANSWER_BYTES, self._budget
+                    )
                     return Answer(response.status, response.headers, content)
         except (
             aiohttp.ClientConnectorError,
@@ -247,24 +243,6 @@
         except (aiohttp.ClientError, OSError, ValueError) as error:
             raise exceptions.AnswerLostError(repr(error), False) from error
 
-    async def _read_body(self, response: aiohttp.ClientResponse) -> bytes:
-        kept_bytes = 0
-
-        def keep(size: int) -> None:
-            nonlocal kept_bytes
-            if self._buffered_bytes + size > MAX_BUFFERED_BYTES:
-                response.close()
-                raise aiohttp.ClientPayloadError(
-                    f"all answers are larger than {MAX_BUFFERED_BYTES} bytes"
-                )
-            kept_bytes += size
-            self._buffered_bytes += size
-
-        try:
-            return await bodies.read_body(response, MAX_ANSWER_BYTES, keep)
-        finally:
-            self._buffered_bytes -= kept_bytes
-
     async def close(self) -> None:
         """Close all connections."""
         await self._session.close()
--- a/src/cowslipshift/platform/store.py
+++ b/src/cowslipshift/platform/store.py
@@ -24,9 +24,6 @@
 
 WATCH_MARGIN_S = 1.0
 
-MAX_ANSWER_BYTES = 32 * 1024 * 1024
-"""Several times a page, and what changes within the store's history."""
-
 
 class _WireItem(msgspec.Struct):
     key: str
@@ -57,6 +54,7 @@
         address: ``ip:port`` of the store.
         session: HTTP session to use; the caller closes it.
         on_call: Called with the kind and outcome of each call, for metrics.
+        budget: Counts answers while they are read.
     """
 
     def __init__(
@@ -64,10 +62,12 @@
         address: str,
         session: aiohttp.ClientSession,
         on_call: Callable[[str, str], None],
+        budget: bodies.ByteBudget,
     ) -> None:
         self._url = f"http://{address}"
         self._session = session
         self._on_call = on_call
+        self._budget = budget
 
     async def read_prefix(self, prefix: str) -> interface.Snapshot:
         """Read all items whose keys begin with a prefix, page by page."""
@@ -166,7 +166,9 @@
                 json=body,
                 timeout=aiohttp.ClientTimeout(total=timeout_s),
             ) as response:
-                raw = await bodies.read_body(response, MAX_ANSWER_BYTES)
+                raw = await bodies.read_body(
+                    response, bodies.MAX_CONTROL_BYTES, self._budget
+                )
                 status = response.status
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
             self._on_call(kind, "none")
--- a/src/cowslipshift/serving/backend/attempt.py
+++ b/src/cowslipshift/serving/backend/attempt.py
@@ -99,6 +99,7 @@
         """
         response = await self._open(call, backend, fresh, try_spend)
         stack.callback(self._close, response, backend)
+        bodies.limit_time(response, call.deadline_s - self._clock.now(), stack)
         self._check_status(call, backend, response)
         reply = calls.Reply(
             response.status,
@@ -106,6 +107,7 @@
             response=response,
             stack=stack,
             server=backend.server.name,
+            budget=self._sessions.budget,
         )
         if (
             reply.length is not None
--- a/src/cowslipshift/serving/backend/forwarding.py
+++ b/src/cowslipshift/serving/backend/forwarding.py
@@ -11,6 +11,7 @@
 import msgspec
 import yarl
 
+from cowslipshift import bodies
 from cowslipshift import statuses
 from cowslipshift.coordination import attempts
 from cowslipshift.peers import credentials
@@ -27,6 +28,8 @@
 
 RECALL_TIMEOUT_S = 1.0
 BUFFERED_BODY_MAX_BYTES = 65_536
+MAX_CONTROL_ANSWER_BYTES = 65_536
+"""Largest refusal, or answer to a recall, of another host."""
 
 
 class ForwardFailedError(Exception):
@@ -111,6 +114,7 @@
             not_run = await self._recall(address, attempt, sent_s, call)
             raise ForwardFailedError(repr(error), not_run) from error
         stack.callback(_close_response, response)
+        bodies.limit_time(response, call.deadline_s - self._clock.now(), stack)
         self._record_load(target, call.service, response)
         return await self._read_reply(response, stack)
 
@@ -199,6 +203,7 @@
             ],
             response=response,
             stack=stack,
+            budget=self._sessions.budget,
             server=response.headers.get(wire.SERVER_HEADER, ""),
         )
         if (
@@ -218,7 +223,9 @@
     ) -> refusals.Refusal:
         async with stack:
             try:
-                raw = await response.read()
+                raw = await bodies.read_body(
+                    response, MAX_CONTROL_ANSWER_BYTES, self._sessions.budget
+                )
             except (aiohttp.ClientError, OSError, TimeoutError) as error:
                 raise ForwardFailedError(repr(error), False) from error
         return refusals.decode_refusal(response.status, raw)
@@ -239,7 +246,9 @@
                     headers=self._sign(),
                 ) as response,
             ):
-                raw = await response.read()
+                raw = await bodies.read_body(
+                    response, MAX_CONTROL_ANSWER_BYTES, self._sessions.budget
+                )
                 answer = msgspec.json.decode(raw, type=wire.RecallAnswer)
         except (aiohttp.ClientError, OSError, TimeoutError):
             return False
--- a/src/cowslipshift/serving/backend/transport.py
+++ b/src/cowslipshift/serving/backend/transport.py
@@ -4,6 +4,7 @@
 
 import aiohttp
 
+from cowslipshift import bodies
 from cowslipshift import connections
 
 CONNECT_TIMEOUT_S = 1.0
@@ -20,9 +21,13 @@
 
     Args:
         source_address: Local IP number to connect from, or ``None``.
+
+    Attributes:
+        budget: Counts the answers that are read as a whole.
     """
 
     def __init__(self, source_address: str | None = None) -> None:
+        self.budget = bodies.ByteBudget(bodies.MAX_BUFFERED_BYTES)
         self.pooled = _open_session(source_address, force_close=False)
         self.fresh = _open_session(source_address, force_close=True)
 
--- a/src/cowslipshift/serving/calls.py
+++ b/src/cowslipshift/serving/calls.py
@@ -5,6 +5,8 @@
 import enum
 from typing import TYPE_CHECKING
 
+from cowslipshift import bodies
+
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
     from collections.abc import Callable
@@ -177,6 +179,7 @@
     """
 
     __slots__ = (
+        "_budget",
         "_callbacks",
         "_content",
         "_response",
@@ -196,6 +199,7 @@
         response: aiohttp.ClientResponse | None = None,
         stack: contextlib.AsyncExitStack | None = None,
         server: str = "",
+        budget: bodies.ByteBudget | None = None,
     ) -> None:
         self.status = status
         self.headers = headers
@@ -203,6 +207,7 @@
         self._content = content
         self._response = response
         self._stack = stack
+        self._budget = budget
         self._callbacks: list[Callable[[], None]] = []
         if content is not None:
             self.length: int | None = len(content)
@@ -210,11 +215,18 @@
             self.length = response.content_length if response else None
 
     async def read(self) -> bytes:
-        """Return the whole body and close the reply."""
+        """Return the whole body and close the reply.
+
+        Raises:
+            ClientError: The body is too large, late, or broken off.
+        """
         try:
             if self._content is None:
                 assert self._response is not None
-                self._content = await self._response.read()
+                assert self._budget is not None
+                self._content = await bodies.read_body(
+                    self._response, bodies.MAX_ANSWER_BYTES, self._budget
+                )
             return self._content
         finally:
             await self.close()
--- a/src/cowslipshift/store/client.py
+++ b/src/cowslipshift/store/client.py
@@ -9,6 +9,7 @@
 import aiohttp
 import msgspec
 
+from cowslipshift import bodies
 from cowslipshift.store import exceptions
 
 if TYPE_CHECKING:
@@ -64,6 +65,7 @@
         self._endpoints = [endpoint.rstrip("/") for endpoint in endpoints]
         self._session = session
         self._preferred = 0
+        self._budget = bodies.ByteBudget(bodies.MAX_CONTROL_BYTES)
         self._on_call = on_call or (lambda kind: None)
 
     async def get_key(self, key: str) -> KeyValue | None:
@@ -203,16 +205,15 @@
         url = f"{self._endpoints[self._preferred]}/v3/watch"
         try:
             async with self._session.post(
-                url,
-                json=request,
-                timeout=timeout,
-                read_bufsize=MAX_WATCH_LINE_BYTES,
+                url, json=request, timeout=timeout
             ) as response:
                 if response.status != 200:
                     raise exceptions.StoreUnavailableError(
                         f"store rejected a watch with status {response.status}"
                     )
-                async for line in response.content:
+                async for line in bodies.iterate_lines(
+                    response, MAX_WATCH_LINE_BYTES, self._budget
+                ):
                     for event in _parse_watch_line(line):
                         yield event
         except exceptions.StoreError:
@@ -247,7 +248,9 @@
             async with self._session.post(
                 url, json=request, timeout=timeout
             ) as response:
-                raw = await response.read()
+                raw = await bodies.read_body(
+                    response, bodies.MAX_CONTROL_BYTES, self._budget
+                )
                 status = response.status
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
             raise exceptions.StoreUnavailableError(
@@ -329,8 +332,6 @@
 
 
 def _parse_watch_line(line: bytes) -> list[WatchEvent]:
-    if not line.strip():
-        return []
     result = _parse_object(line).get("result")
     if not isinstance(result, dict):
         raise exceptions.StoreAnswerError("answer to a watch has no result")
--- a/tests/edge/test_peer_client.py
+++ b/tests/edge/test_peer_client.py
@@ -5,6 +5,7 @@
 from aiohttp import web
 from tests import silentrelay
 
+from cowslipshift import bodies
 from cowslipshift import connections
 from cowslipshift.edge import messages
 from cowslipshift.edge import peerclient
@@ -30,7 +31,9 @@
     relay = silentrelay.SilentRelay(f"127.0.0.1:{port}")
     await relay.start()
     async with connections.open_control_session() as session:
-        client = peerclient.PeerClient(session, lambda outcome, size: None)
+        client = peerclient.PeerClient(
+            session, lambda outcome, size: None, bodies.ByteBudget(1024)
+        )
         await client.fetch_changes(relay.address, 1)
         relay.silence()
         found = await client.fetch_changes(relay.address, 1)
--- a/tests/edge/test_upstream.py
+++ b/tests/edge/test_upstream.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from cowslipshift import bodies
 from cowslipshift.edge import exceptions
 from cowslipshift.edge import upstream
 
@@ -77,7 +78,7 @@
         await endless.closed.wait()
     # What has left the server may still lie in the buffers between.
     assert endless.sent_bytes < 3 * upstream.MAX_RECEIVED_BYTES
-    assert client._buffered_bytes == 0
+    assert client._budget.used_bytes == 0
     await client.close()
     server.close()
 
@@ -85,7 +86,7 @@
 async def test_answers_together_are_limited(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    monkeypatch.setattr(upstream, "MAX_BUFFERED_BYTES", 1024)
+    monkeypatch.setattr(bodies, "MAX_BUFFERED_BYTES", 1024)
     body = b"z" * 700
     answer = HEAD + b"Content-Length: 700\r\n\r\n" + body[:600]
     goes_on = asyncio.Event()
@@ -115,12 +116,12 @@
         )
 
     first = asyncio.create_task(send())
-    while client._buffered_bytes < 600:
+    while client._budget.used_bytes < 600:
         await asyncio.sleep(0.01)
     with pytest.raises(exceptions.AnswerLostError):
         await send()
     goes_on.set()
     assert (await first).body == body
-    assert client._buffered_bytes == 0
+    assert client._budget.used_bytes == 0
     await client.close()
     server.close()
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -9,6 +9,7 @@
 import pytest
 from tests import silentrelay
 
+from cowslipshift import bodies
 from cowslipshift import clock as clocks
 from cowslipshift import connections
 from cowslipshift.platform import names
@@ -44,6 +45,7 @@
             self.relay.address,
             self.session,
             lambda kind, outcome: self.calls.append((kind, outcome)),
+            bodies.ByteBudget(bodies.MAX_CONTROL_BYTES),
         )
 
     async def close(self) -> None:
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -36,7 +36,11 @@
             aiohttp.ClientSession() as session,
             session.get(f"http://127.0.0.1:{port}/") as response,
         ):
-            return await bodies.read_body(response, LIMIT)
+            budget = bodies.ByteBudget(2 * LIMIT)
+            try:
+                return await bodies.read_body(response, LIMIT, budget)
+            finally:
+                assert budget.used_bytes == 0
     finally:
         await runner.cleanup()
 
