End streamed answers at the time limit of their request

A server or host that went on sending kept the connection, the slot and the caller for as long as it liked (20 s and more of a limit of 2 s). The answer is broken off at the deadline, so that the caller sees it cut.

--- a/src/cowslipshift/bodies.py
+++ b/src/cowslipshift/bodies.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import TYPE_CHECKING
 
 import aiohttp
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
+    import contextlib
 
 
 UNREAD_BODY_STATUSES = (408, 413)
@@ -126,6 +128,30 @@
         budget.give_back(len(line))
 
 
+def limit_time(
+    response: aiohttp.ClientResponse,
+    remaining_s: float,
+    stack: contextlib.AsyncExitStack,
+) -> None:
+    """End an answer if its body is still being read after some time.
+
+    Args:
+        response: The answer.
+        remaining_s: Seconds until then.
+        stack: Ends the limit when it is closed.
+    """
+    loop = asyncio.get_running_loop()
+    handle = loop.call_later(remaining_s, _expire, response)
+    stack.callback(handle.cancel)
+
+
+def _expire(response: aiohttp.ClientResponse) -> None:
+    response.content.set_exception(
+        aiohttp.ServerTimeoutError("the body was not complete in time")
+    )
+    response.close()
+
+
 def _check_size(size: int, limit: int) -> None:
     if size > limit:
         raise aiohttp.ClientPayloadError(
--- a/src/cowslipshift/serving/backend/attempt.py
+++ b/src/cowslipshift/serving/backend/attempt.py
@@ -9,6 +9,7 @@
 import aiohttp
 import yarl
 
+from cowslipshift import bodies
 from cowslipshift import connections
 from cowslipshift import statuses
 from cowslipshift.serving import calls
