--- a/src/cowslipshift/platform/store.py
+++ b/src/cowslipshift/platform/store.py
@@ -24,6 +24,9 @@
 
 WATCH_MARGIN_S = 1.0
 
+MAX_SNAPSHOT_BYTES = 32 * 1024 * 1024
+"""All pages of a store with several times 10,000 entries."""
+
 
 class _WireItem(msgspec.Struct):
     key: str
@@ -70,20 +73,35 @@
         self._budget = budget
 
     async def read_prefix(self, prefix: str) -> interface.Snapshot:
-        """Read all items whose keys begin with a prefix, page by page."""
+        """Read all items whose keys begin with a prefix, page by page.
+
+        Raises:
+            StoreAnswerError: The pages do not go on, or do not end.
+        """
         items: list[interface.Item] = []
+        read_bytes = 0
         revision = 0
         params = {"prefix": prefix}
         while True:
             _, raw = await self._call("GET", names.RANGE_PATH, params)
             page = _decode(raw, _Page)
+            read_bytes += len(raw)
+            if read_bytes > MAX_SNAPSHOT_BYTES:
+                raise exceptions.StoreAnswerError(
+                    f"pages of the store exceed {MAX_SNAPSHOT_BYTES} bytes"
+                )
             items += [_convert(item) for item in page.items]
             # Pages are read at different revisions, so the items are complete
             # only up to the revision of the first page.
             revision = revision or page.store_revision
             if not page.has_more or not page.items:
                 return interface.Snapshot(tuple(items), revision)
-            params["after"] = page.items[-1].key
+            last_key = page.items[-1].key
+            if last_key <= params.get("after", ""):
+                raise exceptions.StoreAnswerError(
+                    "a page of the store repeats an earlier one"
+                )
+            params["after"] = last_key
 
     async def watch_prefix(
         self, prefix: str, after: int, wait_s: float
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -145,3 +145,40 @@
     setup.stand_in.put("op/config", b"1")
     found = await setup.client.watch_prefix("", after, 0.3)
     assert [item.key for item in found.items] == ["op/config"]
+
+
+# Guards against a store whose pages do not end, which a host would read and
+# keep until it is out of memory.
+@pytest.mark.parametrize("repeats", [True, False])
+async def test_pages_without_end_are_given_up(repeats) -> None:
+    pages = 0
+
+    async def serve(request: web.Request) -> web.Response:
+        nonlocal pages
+        pages += 1
+        key = "k" if repeats else f"k{pages:08}"
+        item = {"key": key, "rev": 1, "value": "QUFB" * 200_000}
+        return web.json_response(
+            {"items": [item], "store_revision": 1, "has_more": True}
+        )
+
+    application = web.Application()
+    application.router.add_get(names.RANGE_PATH, serve)
+    runner = web.AppRunner(application, shutdown_timeout=0.1)
+    await runner.setup()
+    port = portreservations.reserve_ports(1)[0]
+    await web.TCPSite(runner, "127.0.0.1", port).start()
+    async with (
+        connections.open_control_session() as session,
+        asyncio.timeout(20.0),
+    ):
+        client = stores.PlatformStore(
+            f"127.0.0.1:{port}",
+            session,
+            lambda kind, outcome: None,
+            bodies.ByteBudget(bodies.MAX_CONTROL_BYTES),
+        )
+        with pytest.raises(exceptions.StoreAnswerError):
+            await client.read_prefix("")
+    assert pages <= 64
+    await runner.cleanup()
