Pass on what a host believes of a key in place of a late write

Hosts pass on the last change of a key. A host that fetched a removal and a late write in one answer, or that was new, saw the late write alone: it kept a server that had been removed, or took an older word of it for the last. The replica now asks, item by item, whether a newer write was applied, and keeps and passes on what is believed at the late write's revision. The test gives its hosts' replicas the same question that a host asks.

--- a/src/cowslipshift/edge/replica.py
+++ b/src/cowslipshift/edge/replica.py
@@ -9,6 +9,7 @@
 from cowslipshift.store import interface
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Iterable
 
 MAX_KEPT_CHANGES = 2000
@@ -20,15 +21,25 @@
 
     Some items may be newer, as the pages of a snapshot are read at different
     revisions. The change log holds the last change of every key that changed
-    after its start revision, up to the revision of the replica.
+    after its start revision, up to the revision of the replica. A write that
+    the store executed late is replaced by what it should not have replaced, so
+    that hosts to which the last change is passed on believe the same.
+
+    Args:
+        on_change: Called with each item that changes a value, in order;
+            returns whether a newer write of the key was applied before.
 
     Attributes:
         revision: Store revision up to which the replica is complete; 0 at
             first.
     """
 
-    def __init__(self) -> None:
+    def __init__(
+        self,
+        on_change: Callable[[interface.Item], bool] = lambda item: False,
+    ) -> None:
         self.revision = 0
+        self._on_change = on_change
         self._items: dict[str, interface.Item] = {}
         self._change_log: dict[str, interface.Item] = {}
         self._log_start_revision = 0
@@ -42,11 +53,13 @@
         what replaced them.
         """
         new = [item for item in items if item.revision > self.revision]
-        # Also logged if the replica has them already, from a page that was
-        # read later than the first one: other hosts may not.
+        changed = []
         for item in new:
-            self._log_change(item)
-        changed = [item for item in new if self._apply(item)]
+            if self._apply(item):
+                changed.append(item)
+            # Also logged if the replica has it already, from a page that was
+            # read later than the first one: other hosts may not.
+            self._log_change(self._replace_late(item))
         self.revision = max(self.revision, revision)
         return changed
 
@@ -102,10 +115,20 @@
         known = self._items.get(item.key)
         if known is not None and known.revision >= item.revision:
             return False
+        known_value = known.value if known is not None else None
+        is_change = known_value != item.value
+        if is_change and self._on_change(item):
+            is_change = False
+            item = interface.Item(item.key, known_value, item.revision)
         if item.value is None:
-            if known is None:
-                return False
-            del self._items[item.key]
+            self._items.pop(item.key, None)
         else:
             self._items[item.key] = item
-        return known is None or known.value != item.value
+        return is_change
+
+    def _replace_late(self, item: interface.Item) -> interface.Item:
+        """Return what is believed in place of an item that was applied."""
+        believed = self._items.get(item.key)
+        if believed is None:
+            return interface.Item(item.key, None, item.revision)
+        return believed if believed.revision == item.revision else item
--- a/src/cowslipshift/edge/service.py
+++ b/src/cowslipshift/edge/service.py
@@ -386,9 +386,10 @@
 
     # Changes in the store and messages of other hosts
 
-    def _apply_item(self, item: interface.Item) -> None:
+    def _apply_item(self, item: interface.Item) -> bool:
+        """Apply an item; return whether it is outdated."""
         try:
-            self._apply_translated(item)
+            return self._apply_translated(item)
         except Exception as error:
             # What comes after it in the same batch would not be applied.
             self._log.error(
@@ -397,8 +398,9 @@
                 revision=item.revision,
                 **logs.describe_error(error),
             )
+            return False
 
-    def _apply_translated(self, item: interface.Item) -> None:
+    def _apply_translated(self, item: interface.Item) -> bool:
         now = self._clock.now()
         try:
             change = translation.translate_item(item)
@@ -410,9 +412,9 @@
                 code=error.code,
                 reason=error.message,
             )
-            return
+            return False
         if change is None:
-            return
+            return False
         if (
             isinstance(change, changes.MemberChange)
             and change.name == self._own.name
@@ -422,10 +424,11 @@
             self._log.info(
                 "entry_outdated", key=item.key, revision=item.revision
             )
-            return
+            return True
         if self._balancer.apply(change, now):
             event, fields = logevents.describe_change(change)
             self._log.info(event, revision=item.revision, **fields)
+        return False
 
     def _record_store_outage(self) -> None:
         self._balancer.inventory.record_store_outage(self._clock.now())
--- a/src/cowslipshift/edge/watcher.py
+++ b/src/cowslipshift/edge/watcher.py
@@ -77,7 +77,8 @@
         membership: Tells which hosts are alive.
         overlay: Chooses the host to fetch changes from.
         client: Fetches changes from other hosts.
-        on_change: Called with each item that changed.
+        on_change: Called with each item that changed; returns whether it is
+            outdated.
         on_store_failure: Called each time a call to the store fails.
         on_revision: Called when changes were applied to the replica.
         max_age_s: Time without proof of being current after which the host
@@ -95,19 +96,18 @@
         membership: memberships.Membership,
         overlay: overlays.Overlay,
         client: ChangeClient,
-        on_change: Callable[[interface.Item], None],
+        on_change: Callable[[interface.Item], bool],
         on_store_failure: Callable[[], None],
         on_revision: Callable[[], None],
         max_age_s: float = DEFAULT_MAX_AGE_S,
     ) -> None:
-        self.replica = replicas.StoreReplica()
+        self.replica = replicas.StoreReplica(on_change)
         self.is_store_reachable = False
         self._clock = clock
         self._store = store
         self._membership = membership
         self._overlay = overlay
         self._client = client
-        self._on_change = on_change
         self._on_store_failure = on_store_failure
         self._on_revision = on_revision
         self._max_age_s = max_age_s
@@ -326,8 +326,6 @@
         self._behind_since_s = (
             self._clock.now() if self._list_ahead() else None
         )
-        for item in changed:
-            self._on_change(item)
         if changed:
             self._on_revision()
 
--- a/tests/edge/test_heartbeats.py
+++ b/tests/edge/test_heartbeats.py
@@ -269,7 +269,7 @@
         balancer.membership,
         overlays.Overlay(balancer.membership),
         Client(),
-        lambda item: None,
+        lambda item: False,
         lambda: None,
         lambda: None,
     )
--- a/tests/edge/test_watcher.py
+++ b/tests/edge/test_watcher.py
@@ -76,7 +76,7 @@
             self.membership,
             overlays.Overlay(self.membership),
             self.client,
-            lambda item: None,
+            lambda item: False,
             lambda: None,
             lambda: None,
         )
--- a/tests/edge/virtualfleet.py
+++ b/tests/edge/virtualfleet.py
@@ -301,7 +301,7 @@
                 self._fleet.renew_registration(self.member)
             await asyncio.sleep(registration.LEASE_RENEWAL_INTERVAL_S)
 
-    def _apply_item(self, item: interface.Item) -> None:
+    def _apply_item(self, item: interface.Item) -> bool:
         now = self._fleet.loop.time()
         if item.key == names.CONFIG_KEY:
             self.applied_s.setdefault(item.revision, now)
@@ -309,6 +309,7 @@
             name = item.key.removeprefix(names.MEMBER_PREFIX)
             member = None if item.value is None else self._fleet.members[name]
             self._balancer.apply(changes.MemberChange(name, member), now)
+        return False
 
 
 class VirtualFleet:
--- a/tests/fuzz/test_late_writes.py
+++ b/tests/fuzz/test_late_writes.py
@@ -85,13 +85,13 @@
     """A host's replica and what it makes of it."""
 
     def __init__(self) -> None:
-        self.replica = replicas.StoreReplica()
+        self.replica = replicas.StoreReplica(self._apply)
         self.balancer = builders.build_balancer()
 
     def follow(self, store: Store) -> None:
         """Apply all changes since the last ones, each of them."""
         new = [e for e in store.events if e.revision > self.replica.revision]
-        self._apply(self.replica.apply_changes(new, store.revision))
+        self.replica.apply_changes(new, store.revision)
 
     def fetch(self, other: Host) -> None:
         """Apply what another host passes on: the last change of a key."""
@@ -101,13 +101,15 @@
             if found.is_snapshot
             else self.replica.apply_changes
         )
-        self._apply(apply(found.items, found.revision))
-
-    def _apply(self, items: list[interface.Item]) -> None:
-        for item in items:
-            change = translation.translate_item(item)
-            assert change is not None
-            self.balancer.apply(change, 1.0)
+        apply(found.items, found.revision)
+
+    def _apply(self, item: interface.Item) -> bool:
+        change = translation.translate_item(item)
+        assert change is not None
+        if self.balancer.is_outdated(change, 1.0):
+            return True
+        self.balancer.apply(change, 1.0)
+        return False
 
     def check(self, store: Store) -> None:
         """Check that the host believes what the server said last."""
