Parse what had arrived when its connection ends

Since answers are parsed a part at a time, a connection that ended with parts still to be parsed dropped them: an answer in small chunks was lost, and one without a length could have been passed on cut (MIXED).

--- a/src/cowslipshift/connections.py
+++ b/src/cowslipshift/connections.py
@@ -91,11 +91,14 @@
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Parse what had arrived before the end."""
-        while self._deferred and exc is None and not self._should_close_now:
-            self._parse(self._take_part())
-        self._deferred = b""
+        self.parse_rest()
         super().connection_lost(exc)
 
+    def parse_rest(self) -> None:
+        """Parse all that has arrived, at the end of the connection."""
+        while self._deferred:
+            self._parse(self._take_part())
+
     def fail(self, reason: str) -> None:
         """Fail the answer that is being read and close the connection."""
         error = aiohttp.ClientPayloadError(reason)
@@ -129,8 +132,8 @@
         return part
 
     @property
-    def _should_close_now(self) -> bool:
-        return self.transport is None or self.transport.is_closing()
+    def _is_closed_here(self) -> bool:
+        return self.transport is None or self._exception is not None
 
     def _parse(self, part: bytes) -> bool:
         """Parse a part; return whether it held more than a body.
@@ -138,6 +141,9 @@
         The connection is closed if an answer is complete already, or if what
         surrounds the body exceeds the limits.
         """
+        if self._is_closed_here:
+            self._deferred = b""
+            return False
         if self._is_answered:
             self._deferred = b""
             self.force_close()
@@ -147,9 +153,6 @@
         body_bytes = self._count_body_bytes()
         self._parsed_bytes += len(part)
         super().data_received(part)
-        if self._parser is None or self._should_close_now:
-            self._deferred = b""
-            return False
         read_bytes = self._count_body_bytes()
         if not self._upgraded:
             self._check_framing(read_bytes)
--- a/src/cowslipshift/edge/upstream.py
+++ b/src/cowslipshift/edge/upstream.py
@@ -111,6 +111,7 @@
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Fail the answer that is being read if the connection was reset."""
+        self.parse_rest()
         is_unanswered = not self._received_bytes and not self._is_answered
         # There is no transport if the connection was closed from here.
         is_closed_there = self.transport is not None
--- a/tests/edge/test_faulty_backends.py
+++ b/tests/edge/test_faulty_backends.py
@@ -201,3 +201,50 @@
             assert size >= head_size
             assert answer.body == whole[head_size:size]
     await client.close()
+
+
+LONG_BODY = bytes(range(256)) * 1000
+LONG_FORMS = {
+    "length": b"Content-Length: %d\r\n\r\n" % len(LONG_BODY) + LONG_BODY,
+    "until the end": b"Connection: close\r\n\r\n" + LONG_BODY,
+    "small chunks": b"Transfer-Encoding: chunked\r\n\r\n"
+    + b"".join(
+        b"%x\r\n%b\r\n" % (len(part), part)
+        for part in (
+            LONG_BODY[start : start + 20]
+            for start in range(0, len(LONG_BODY), 20)
+        )
+    )
+    + b"0\r\n\r\n",
+}
+
+
+# Guards against MIXED: what has arrived but was not parsed yet is dropped when
+# its connection ends, and the rest is passed on as whole.
+@pytest.mark.parametrize("pause_s", [0.0, 0.002])
+@pytest.mark.parametrize("ends", ["close", ""])
+@pytest.mark.parametrize("form", LONG_FORMS)
+async def test_long_answer_at_the_end_of_its_connection_is_whole(
+    form, ends, pause_s
+) -> None:
+    whole = HEAD + LONG_FORMS[form]
+    ends = "close" if form == "until the end" else ends
+
+    def script(headers: dict[str, str], number: int) -> list[Step]:
+        # Cuts at other places for each request.
+        cuts = [0, 700 * number, 1000 + 30_011 * number, len(whole)]
+        steps = [
+            Step(whole[start:end], pause_s)
+            for start, end in zip(cuts, cuts[1:], strict=False)
+            if start < end
+        ]
+        steps[-1].ends = ends
+        return steps
+
+    client = upstream.UpstreamClient()
+    async with faultyserver.FaultyServer(script) as server:
+        answers = await asyncio.gather(
+            *(send(client, server, "r") for _ in range(20))
+        )
+        assert [a.body == LONG_BODY for a in answers] == [True] * 20
+    await client.close()
