Answer all requests that were read before a stop closes their connection

Requests are begun also while a host closes, and a connection is closed behind the last one that was read.

--- a/src/cowslipshift/edge/callers.py
+++ b/src/cowslipshift/edge/callers.py
@@ -193,7 +193,7 @@
         """Return the answer to the request whose turn it is.
 
         A connection that is to be closed first answers all requests that
-        were begun.
+        were read.
         """
         queued = self._take(request)
         queued.begin_turn()
@@ -202,8 +202,7 @@
             response = await queued.task
         else:
             response = await self._caller_server.handle(queued)
-        has_begun = any(waiting.task for waiting in self._queue)
-        if self._caller_server.is_closing and not has_begun:
+        if self._caller_server.is_closing and not self._queue:
             response.force_close()
         return response
 
@@ -248,8 +247,6 @@
 
     def _begin_waiting(self) -> None:
         """Begin requests that wait behind others, as far as limits allow."""
-        if self._caller_server.is_closing:
-            return
         is_first = not self._request_in_progress
         concurrent = 0 if is_first else 1
         held_bytes = sum(q.count_held_bytes() for q in self._queue)
@@ -279,7 +276,7 @@
 
     Attributes:
         is_closing: Whether connections are closed after the answers to the
-            requests that were begun.
+            requests that were read.
     """
 
     def __init__(
--- a/tests/edge/test_planned_stop.py
+++ b/tests/edge/test_planned_stop.py
@@ -155,6 +155,31 @@
     assert set(outcomes) <= ANSWERED | {"refused"}
 
 
+# Guards against a host that reads requests behind one that runs after SIGTERM,
+# and drops them with their connection.
+@pytest.mark.parametrize("is_write", [False, True])
+async def test_row_read_after_sigterm_is_answered_before_the_close(
+    daemon, is_write
+) -> None:
+    rows = [
+        rawcaller.build_request(f"w{n}", is_write, affinity_key=str(n))
+        for n in range(6)
+    ]
+    async with rawcaller.RawCaller(daemon) as caller:
+        caller.send(rows[0])
+        await asyncio.sleep(SERVICE_S / 2)
+        daemon.process.send_signal(signal.SIGTERM)
+        await asyncio.sleep(SERVICE_S / 4)
+        for row in rows[1:]:
+            caller.send(row)
+        answers = [await caller.read_answer() for _ in rows]
+        assert [a.request_id for a in answers] == [f"w{n}" for n in range(6)]
+        assert {str(answer.status) for answer in answers} <= ANSWERED | {"503"}
+        assert [a.closes for a in answers] == [False] * 5 + [True]
+        assert await caller.read_rest() == b""
+    assert await daemon.stop() == 0
+
+
 async def test_half_a_request_is_answered_when_the_rest_comes(daemon) -> None:
     request = rawcaller.build_request("h", True, body=b"x" * 100)
     async with rawcaller.RawCaller(daemon) as caller:
