Keep no connection with bytes that were not parsed yet

What a server had sent behind an answer, and was left for the next turn of the event loop, did not keep the connection from being used again, so that it could have been taken for the next answer (MIXED; the request's id would have told). Found by reading the change. tests/test_connections failed before.

--- a/src/cowslipshift/connections.py
+++ b/src/cowslipshift/connections.py
@@ -89,6 +89,11 @@
         if not self._is_continuing:
             self._parse_deferred()
 
+    @property
+    def should_close(self) -> bool:
+        """Whether no other request may use the connection."""
+        return bool(self._deferred) or super().should_close
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """Parse what had arrived before the end."""
         self.parse_rest()
