--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -39,3 +39,11 @@
         assert row["added_mb"] < MAX_ADDED_MB, (way, row)
         assert row["stall_cpu_s"] < MAX_STALL_CPU_S, (way, row)
         assert "unexpected" not in " ".join(row["results"]), (way, row)
+
+
+# Guards against a store whose watch sends blank lines without end, which are
+# taken apart while nothing else runs.
+async def test_blank_lines_of_watches_do_not_hold_the_event_loop() -> None:
+    row = await answers.play("store watch", "blank body", CALLS)
+    assert row["added_mb"] < MAX_ADDED_MB, row
+    assert row["stall_cpu_s"] < MAX_STALL_CPU_S, row
