--- a/src/cowslipshift/bodies.py
+++ b/src/cowslipshift/bodies.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import re
 from typing import TYPE_CHECKING
 
 import aiohttp
@@ -12,6 +13,9 @@
     import contextlib
 
 
+_LINE_ENDS = re.compile(rb"\n\s*")
+"""The end of a line, with the blank lines behind it."""
+
 UNREAD_BODY_STATUSES = (408, 413)
 """Refusals in front of a body that was not read to its end. What follows on
 their connection may be the rest of that body, so it is closed."""
@@ -105,22 +109,20 @@
         ClientPayloadError: A line is larger than the limit, or than what the
             budget has left.
     """
-    line = bytearray()
+    line = b""
     try:
         async for part in response.content.iter_any():
-            *ends, rest = part.split(b"\n")
-            for end in ends:
-                _check_size(len(line) + len(end), limit)
-                whole = bytes(line) + end
-                budget.give_back(len(line))
-                line.clear()
-                if whole.strip():
-                    yield whole
-            _check_size(len(line) + len(rest), limit)
+            *lines, rest = _LINE_ENDS.split(line + part)
+            for whole in filter(bytes.strip, lines):
+                _check_size(len(whole), limit)
+                yield whole
+            _check_size(len(rest), limit)
+            budget.give_back(len(line))
+            line = b""
             budget.take(len(rest))
-            line += rest
+            line = rest
         if line.strip():
-            yield bytes(line)
+            yield line
     except aiohttp.ClientPayloadError:
         response.close()
         raise
