Build the answers and forwards of the refusal tests in one place

test_refusals wrote the head that faultyserver.build_plain_answer writes, and test_forwarding set up the same exchange twice, left its sessions open when an assertion failed, and gave its refusals a status that nothing read. The assertions are the same.

--- a/tests/edge/test_refusals.py
+++ b/tests/edge/test_refusals.py
@@ -52,17 +52,12 @@
         headers: dict[str, str], number: int
     ) -> list[faultyserver.Step]:
         request_id = headers[names.REQUEST_ID_HEADER.lower()]
-        content = (
-            "\r\n".join(
-                (
-                    f"HTTP/1.1 {status} X",
-                    f"{names.REQUEST_ID_HEADER}: {request_id}",
-                    f"Content-Length: {len(body)}",
-                    *lines,
-                )
-            )
-            + "\r\n\r\n"
-        ).encode() + body
+        content = faultyserver.build_plain_answer(
+            status,
+            f"{names.REQUEST_ID_HEADER}: {request_id}",
+            *lines,
+            body=body,
+        )
         if cut_bytes:
             return [faultyserver.Step(content[:-cut_bytes], ends="reset")]
         return [faultyserver.Step(content)]
--- a/tests/serving/test_forwarding.py
+++ b/tests/serving/test_forwarding.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import time
+from typing import TYPE_CHECKING
 
 import msgspec
 import pytest
@@ -17,24 +18,35 @@
 from cowslipshift.serving.backend import transport
 from cowslipshift.serving.backend import wire
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 PROMISES = sorted(statuses.PROMISES)
 TIMEOUT_S = 5.0
 
 
-def build_forwarder(
-    sessions: transport.Sessions, address: str
-) -> forwarding.Forwarder:
-    return forwarding.Forwarder(
-        "here-1",
-        "secret",
-        clocks.SystemClock(),
-        sessions,
-        lambda host: address,
-        lambda host: 0,
-    )
+async def forward(
+    script: Callable[[dict[str, str], int], list[faultyserver.Step]],
+) -> calls.Reply:
+    """Forward an order to a host that answers as a script says."""
+    sessions = transport.Sessions()
+    try:
+        async with faultyserver.FaultyServer(script) as host:
+            forwarder = forwarding.Forwarder(
+                "here-1",
+                "secret",
+                clocks.SystemClock(),
+                sessions,
+                lambda name: host.address,
+                lambda name: 0,
+            )
+            call = builders.build_call(deadline_s=time.monotonic() + TIMEOUT_S)
+            return await forwarder.forward(call, "there-1", calls.Scope.HOST)
+    finally:
+        await sessions.close()
 
 
-def build_refusal(status: int, **fields: object) -> bytes:
+def build_refusal(**fields: object) -> bytes:
     return msgspec.json.encode(
         {
             "error": {
@@ -53,7 +65,7 @@
 @pytest.mark.parametrize(
     ("body", "result"),
     [
-        (build_refusal(503, not_run=False), wire.RESULT_REFUSED),
+        (build_refusal(not_run=False), wire.RESULT_REFUSED),
         (b"no", wire.RESULT_REFUSED),
         (b"", wire.RESULT_REFUSED),
         (b"no", ""),
@@ -71,16 +83,10 @@
             )
         ]
 
-    sessions = transport.Sessions()
-    async with faultyserver.FaultyServer(script) as host:
-        call = builders.build_call(deadline_s=time.monotonic() + TIMEOUT_S)
-        with pytest.raises(refusals.Refusal) as raised:
-            await build_forwarder(sessions, host.address).forward(
-                call, "there-1", calls.Scope.HOST
-            )
+    with pytest.raises(refusals.Refusal) as raised:
+        await forward(script)
     assert raised.value.status not in PROMISES
     assert not raised.value.not_run
-    await sessions.close()
 
 
 # Guards against REFUSED: a refusal of another host that breaks off.
@@ -88,18 +94,12 @@
     whole = faultyserver.build_plain_answer(
         503,
         f"{wire.RESULT_HEADER}: {wire.RESULT_REFUSED}",
-        body=build_refusal(503),
+        body=build_refusal(),
     )
 
     def script(headers, number) -> list[faultyserver.Step]:
         return [faultyserver.Step(whole[:-1], ends="reset")]
 
-    sessions = transport.Sessions()
-    async with faultyserver.FaultyServer(script) as host:
-        call = builders.build_call(deadline_s=time.monotonic() + TIMEOUT_S)
-        with pytest.raises(forwarding.ForwardFailedError) as raised:
-            await build_forwarder(sessions, host.address).forward(
-                call, "there-1", calls.Scope.HOST
-            )
+    with pytest.raises(forwarding.ForwardFailedError) as raised:
+        await forward(script)
     assert not raised.value.not_run
-    await sessions.close()
