Split the choice of a backend server into steps

Cause: the balancer decided in one class who may be used, how long an answer takes, who gets room and which server is taken, so that a new decision had to go into the middle of it. Change: a Protocol for each step (steering/steps), the present decisions as their first implementations, moved as they were; the balancer joins them. Estimates now also learn the present time with an answer.

--- a/bench/emulator.py
+++ b/bench/emulator.py
@@ -349,7 +349,9 @@
         state.record_answer(
             call.affinity_key, took_s, attempt.choice.baseline_s, self._now
         )
-        attempt.balancer.update_latency(call, attempt.choice, took_s)
+        attempt.balancer.update_latency(
+            call, attempt.choice, took_s, self._now
+        )
         is_in_time = self._now - attempt.arrived_s <= self._deployment.target_s
         self._count("in_target" if is_in_time else "late", attempt.region)
         if attempt.arrived_s < 4.0:
--- /dev/null
+++ b/src/cowslipshift/admission/__init__.py
@@ -0,0 +1,3 @@
+"""Who gets room at backend servers when there is too little of it."""
+
+from __future__ import annotations
--- a/src/cowslipshift/edge/attempts.py
+++ b/src/cowslipshift/edge/attempts.py
@@ -299,7 +299,7 @@
             state.record_answer(
                 call.affinity_key, took_s, choice.baseline_s, now
             )
-            self._deps.balancer.update_latency(call, choice, took_s)
+            self._deps.balancer.update_latency(call, choice, took_s, now)
         self._record_version_outcome(choice, is_bad)
 
     def _record_failure(
--- a/src/cowslipshift/steering/balancer.py
+++ b/src/cowslipshift/steering/balancer.py
@@ -4,15 +4,19 @@
 
 from typing import TYPE_CHECKING
 
-from cowslipshift.coordination import budgets
+from cowslipshift.admission import deadlines
 from cowslipshift.coordination import hashing
 from cowslipshift.steering import backends
 from cowslipshift.steering import calls
 from cowslipshift.steering import changes
+from cowslipshift.steering import coldservers
+from cowslipshift.steering import eligibility
 from cowslipshift.steering import inventory as inventories
-from cowslipshift.steering import latencies
 from cowslipshift.steering import lostanswers
 from cowslipshift.steering import placement
+from cowslipshift.steering import prediction
+from cowslipshift.steering import preference
+from cowslipshift.steering import retrybudgets
 from cowslipshift.steering import rollouts
 from cowslipshift.steering import roundtrips
 from cowslipshift.steering import routes
@@ -25,10 +29,7 @@
     from cowslipshift.steering import limiters
     from cowslipshift.steering import membership as memberships
     from cowslipshift.steering import model
-
-COLD_SENDERS = 2
-"""Number of hosts that may send to a cold server if no other server is left.
-It is more than one, so that the server is used if one of them fails."""
+    from cowslipshift.steering import steps
 
 CANDIDATES = 2
 """Servers in an object's order of preference that are compared. More would
@@ -37,29 +38,11 @@
 MAX_CACHED_RANKINGS = 20_000
 """Objects whose ranking is cached; computing one takes some microseconds."""
 
-FAILURE_COST_TARGETS = 4.0
-"""What a failed request costs, in target latencies of its route: a server that
-fails more than a fourth of its requests loses to a cold one."""
-
-DETOUR_COST_TARGETS = 0.1
-"""What another server than an object's first one costs, in target latencies,
-so that objects come back when their first server is as good again."""
-
-COLD_RATE_SAFETY = 0.7
-MIN_RETRY_AFTER_S = 0.1
-MAX_RETRY_AFTER_S = 1.0
+NO_BACKEND_RETRY_AFTER_S = 0.5
 
 WAIT_SPREAD_FRACTION = 0.5
 """Fraction of a server's wait over which callers are told to return."""
 
-RETRY_SAFETY = 0.6
-"""Fraction of the retry budget that is spent, because hosts learn of each
-other's requests with a delay."""
-
-RETRY_RESERVE_S = 10.0
-"""Seconds of a host's share of the retry slack that it may accumulate. Half of
-the slack accrues over time, and half may be accumulated."""
-
 
 class Balancer:
     """Routing decisions of one host, and the state behind them.
@@ -94,16 +77,21 @@
         )
         self._own_region = membership.own.region
         self._regions = regions
-        self._retry_ratio = retry_ratio * RETRY_SAFETY
-        self._retry_slack = retry_slack * RETRY_SAFETY / retry_window_s / 2
-        self._max_retry_reserve = 1.0
-        self._budgets: dict[str, budgets.RetryBudget] = {}
+        self._retries = retrybudgets.RetryBudgets(
+            retry_ratio, retry_slack, retry_window_s
+        )
         self._routes = routes.RouteTable(())
         self._splitters: dict[tuple[str, str], splits.Splitter] = {}
-        self._latencies: dict[tuple[str, str], latencies.RouteLatency] = {}
         self._rankings: dict[tuple[str, str], list[backends.BackendState]] = {}
-        self._cold_sent_s: dict[str, float] = {}
         self._ranked_generation = 0
+        self._cold_servers = coldservers.ColdServers(membership)
+        self._eligibility: steps.EligibilityRule = eligibility.Eligibility(
+            self.inventory, self.server_signals, self.rollouts, regions
+        )
+        self._latencies = prediction.LatencyEstimator(self.round_trips)
+        self._estimator: steps.CompletionEstimator = self._latencies
+        self._selector: steps.ServerSelector = preference.CostPreference()
+        self._admission: steps.AdmissionPolicy = deadlines.DeadlineAdmission()
 
     @property
     def version(self) -> int:
@@ -160,8 +148,7 @@
                 or splitter.weighted_services != route.weighted_services
             ):
                 self._splitters[key] = splits.Splitter(route.weighted_services)
-            if key not in self._latencies:
-                self._latencies[key] = latencies.RouteLatency(route)
+        self._latencies.set_routes(self._routes.list_routes())
         self.accounts.apply(configuration.accounts.values(), now)
         return True
 
@@ -203,7 +190,7 @@
         """Open a request: choose its service and version."""
         service = self._splitters[route.key].choose_service()
         rollout = self.rollouts.get(service)
-        self._get_budget(service).record_attempt(self._retry_ratio)
+        self._retries.record_request(service)
         return calls.Call(
             id=request_id,
             route=route,
@@ -226,7 +213,7 @@
         One that states a limit gets the request only if the limit allows it.
         """
         limited: set[str] = set()
-        min_wait_s = MAX_RETRY_AFTER_S
+        min_wait_s = deadlines.MAX_RETRY_AFTER_S
         while True:
             choice = self._choose_unless_limited(call, limited, now)
             if isinstance(choice, calls.Refusal):
@@ -285,7 +272,7 @@
             state
             for state in self._rank(call)
             if state.entry.id not in limited
-            and self._is_usable(state, call, now)
+            and self._eligibility.is_usable(state, call, now)
         )
         cold: list[backends.BackendState] = []
         ready: list[backends.BackendState] = []
@@ -297,29 +284,15 @@
             call.uses_new_version = False
             return self._choose_unless_limited(call, limited, now)
         choices = [
-            self._predict(call, state, position, now)
+            self._estimator.predict(call, state, position, now)
             for position, state in enumerate(ready)
         ]
-        best = min(
-            choices,
-            key=lambda choice: self._measure_cost(call, choice, now),
-            default=None,
-        )
+        best = self._selector.select(call, choices, now)
         if best is None:
             best = self._choose_cold(call, cold, now)
         if best is None:
-            return calls.Refusal("no_backend", MIN_RETRY_AFTER_S * 5)
-        left_s = call.deadline_s - now
-        excess_s = best.expected_s - left_s
-        # Refuse only because of queueing; the estimated service time alone is
-        # too uncertain.
-        if best.queue_s > 0.0 and excess_s > 0.0:
-            return calls.Refusal(
-                "no_room",
-                min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, excess_s)),
-                best,
-            )
-        return best
+            return calls.Refusal("no_backend", NO_BACKEND_RETRY_AFTER_S)
+        return self._admission.review(call, best, now) or best
 
     def record_connect(self, address: str, took_s: float) -> None:
         """Record how long it took to open a connection to a server."""
@@ -329,26 +302,21 @@
 
     def try_retry(self, service: str) -> bool:
         """Take a retry from the service's budget if there is one."""
-        return self._get_budget(service).try_spend()
+        return self._retries.try_retry(service)
 
     def refill_budgets(self, passed_s: float) -> None:
         """Add this host's share of the retry slack."""
-        hosts = self.membership.count_hosts()
-        self._max_retry_reserve = max(
-            1.0, self._retry_slack * RETRY_RESERVE_S / hosts
-        )
-        for budget in self._budgets.values():
-            budget.set_max_reserve(self._max_retry_reserve)
-            budget.record_attempt(self._retry_slack * passed_s / hosts)
+        self._retries.refill(passed_s, self.membership.count_hosts())
 
     def update_latency(
-        self, call: calls.Call, choice: calls.Choice, took_s: float
+        self,
+        call: calls.Call,
+        choice: calls.Choice,
+        took_s: float,
+        now: float,
     ) -> None:
-        """Update the latency estimate from an answer of the server."""
-        if choice.load < choice.state.entry.slots:
-            self._latencies[call.route.key].update(
-                took_s, choice.is_known_warm
-            )
+        """Update the latency estimates from an answer of the server."""
+        self._estimator.update(call, choice, took_s, now)
 
     def record_outcome(
         self, call: calls.Call, choice: calls.Choice, is_bad: bool, now: float
@@ -435,66 +403,6 @@
                 self._rankings[key] = ranking
         return ranking
 
-    def _is_usable(
-        self, state: backends.BackendState, call: calls.Call, now: float
-    ) -> bool:
-        entry = state.entry
-        if state.is_draining or entry.id in call.tried:
-            return False
-        if self.server_signals.is_leaving(entry.id, entry.started_ms):
-            return False
-        if self._measure_server_wait(entry, now) > 0.0:
-            return False
-        if entry.data_centre in self.inventory.evacuated:
-            return False
-        region = self._regions.get(entry.data_centre)
-        if call.regions is not None and region not in call.regions:
-            return False
-        if state.is_ejected(now):
-            return False
-        rollout = self.rollouts.get(call.service)
-        return rollout is None or rollout.may_use(
-            entry.version, call.uses_new_version
-        )
-
-    def _predict(
-        self,
-        call: calls.Call,
-        state: backends.BackendState,
-        position: int,
-        now: float,
-    ) -> calls.Choice:
-        latency = self._latencies[call.route.key]
-        is_known_warm = not call.affinity_key or state.is_warm_for(
-            call.affinity_key, now
-        )
-        is_warm = is_known_warm or position == 0
-        typical_s = latency.estimate(is_warm)
-        rtt_s = self.round_trips.estimate(state.entry.data_centre)
-        queue_s = state.estimate_wait(now, latency.warm_s)
-        service_time_s = typical_s * state.estimate_slowness(now)
-        expected_s = rtt_s + queue_s + service_time_s
-        return calls.Choice(
-            state,
-            expected_s,
-            rtt_s + queue_s + latency.estimate(is_known_warm),
-            is_known_warm,
-            position,
-            state.estimate_load(now),
-            queue_s,
-        )
-
-    def _measure_cost(
-        self, call: calls.Call, choice: calls.Choice, now: float
-    ) -> float:
-        """Return the expected latency, with surcharges, in seconds."""
-        surcharge = FAILURE_COST_TARGETS * choice.state.estimate_failure_share(
-            now
-        )
-        if choice.position:
-            surcharge += DETOUR_COST_TARGETS
-        return choice.expected_s + surcharge * call.route.target_s
-
     def _choose_cold(
         self,
         call: calls.Call,
@@ -504,27 +412,11 @@
         assert self.configuration is not None
         service = self.configuration.services.get(call.service)
         rate = service.cold_rate if service is not None else 1.0
-        hosts = [member.name for member in self.membership.list_live(now)]
-        interval_s = COLD_SENDERS / max(0.1, rate * COLD_RATE_SAFETY)
         for position, state in enumerate(cold):
-            identity = state.entry.id
-            if now - self._cold_sent_s.get(identity, -1e9) < interval_s:
-                continue
-            senders = hashing.rank_members(f"cold|{identity}", hosts)
-            if self.membership.own.name not in senders[:COLD_SENDERS]:
-                continue
-            self._cold_sent_s[identity] = now
-            return self._predict(call, state, position, now)
+            if self._cold_servers.try_send(state.entry.id, rate, now):
+                return self._estimator.predict(call, state, position, now)
         return None
 
-    def _get_budget(self, service: str) -> budgets.RetryBudget:
-        budget = self._budgets.get(service)
-        if budget is None:
-            budget = self._budgets[service] = budgets.RetryBudget(
-                self._max_retry_reserve
-            )
-        return budget
-
 
 def _intersect(
     route: model.Route, account: model.Account | None
--- a/tests/steering/test_failing_servers.py
+++ b/tests/steering/test_failing_servers.py
@@ -58,7 +58,7 @@
                 is_warm = state.is_warm_for(key, self.now)
                 took_s = WARM_S if is_warm else COLD_S
                 state.record_answer(key, took_s, choice.baseline_s, self.now)
-                self.balancer.update_latency(call, choice, took_s)
+                self.balancer.update_latency(call, choice, took_s, self.now)
             self.now += SPACING_S
 
     @property
--- a/tests/steering/test_routes.py
+++ b/tests/steering/test_routes.py
@@ -96,7 +96,7 @@
     before = balancer.choose_backend(files, 0.0)
     choice = balancer.choose_backend(orders, 0.0)
     for _ in range(50):
-        balancer.update_latency(orders, choice, 10.0)
+        balancer.update_latency(orders, choice, 10.0, 10.0)
     assert balancer.choose_backend(files, 0.0).expected_s == before.expected_s
 
 
