Tell other hosts what servers state about their load

Change: heartbeats carry the loads that differed most from what the host expected, bounded in bytes and in the sum of all hosts, only where heartbeats are relayed; the pace in a load report is parsed at the boundary.

--- a/src/cowslipshift/edge/attempts.py
+++ b/src/cowslipshift/edge/attempts.py
@@ -220,7 +220,9 @@
             answer.status, answer.headers
         )
         if answer_headers.load is not None:
-            state.record_load(*answer_headers.load, now)
+            deps.balancer.load_exchange.record_answer(
+                state, answer_headers.load, now
+            )
         if not answer_headers.is_other_server:
             self._record_limit(choice, answer_headers.server_limit)
             self._record_signals(choice, answer_headers)
--- a/src/cowslipshift/edge/heartbeats.py
+++ b/src/cowslipshift/edge/heartbeats.py
@@ -214,6 +214,9 @@
                 backend=limit.server,
                 limit=limit.rate,
             )
+        self._balancer.load_exchange.record_reports(
+            heartbeat.server_loads, now
+        )
         for report in heartbeat.reports:
             rollout = self._balancer.rollouts.get(report.service)
             if rollout is not None:
@@ -260,4 +263,5 @@
             reports=reports,
             current_age_s=self._watcher.measure_age(now),
             server_limits=self._balancer.server_limits.list_reports(now),
+            server_loads=self._balancer.load_exchange.list_reports(now),
         )
--- a/src/cowslipshift/edge/messages.capnp
+++ b/src/cowslipshift/edge/messages.capnp
@@ -26,6 +26,13 @@
   ageMs @3 :UInt32;
 }
 
+struct ServerLoad {
+  server @0 :UInt64;
+  running @1 :UInt16;
+  waiting @2 :UInt16;
+  ageMs @3 :UInt32;
+}
+
 struct Word {
   host @0 :Text;
   incarnation @1 :UInt64;
@@ -38,6 +45,7 @@
   isUrgent @8 :Bool;
   currentAgeMs @9 :UInt32 = 4294967295;
   serverLimits @10 :List(ServerLimit);
+  serverLoads @11 :List(ServerLoad);
 }
 
 struct Passage {
--- a/src/cowslipshift/edge/messages.py
+++ b/src/cowslipshift/edge/messages.py
@@ -16,6 +16,7 @@
 from cowslipshift.steering import rollouts
 from cowslipshift.steering import serverlimits
 from cowslipshift.store import interface
+from cowslipshift.workload import reports as load_reports
 
 _schema: Any = capnp.load(
     str(pathlib.Path(__file__).with_name("messages.capnp"))
@@ -30,6 +31,9 @@
 """Heartbeats of a bundle repeat the names of accounts, which the fastest level
 finds as well."""
 
+MAX_COUNT = 2**16 - 1
+"""Larger numbers of requests at a server are sent as this."""
+
 UNKNOWN_AGE_MS = 2**32 - 1
 """Stands for an age that is unknown or too large to be sent."""
 
@@ -62,6 +66,7 @@
         is_store_reachable: Whether the store answered its last call.
         current_age_s: Seconds since the replica was last proven current.
         server_limits: Limits that servers state.
+        server_loads: Loads that servers state.
         usages: Admitted requests and demand by account.
         reports: Counts of each roll-out.
     """
@@ -77,6 +82,7 @@
     reports: list[RolloutReport]
     current_age_s: float = math.inf
     server_limits: list[serverlimits.ServerLimitReport] = []
+    server_loads: list[load_reports.ServerLoadReport] = []
 
 
 class EncodedHeartbeat(msgspec.Struct, frozen=True):
@@ -154,6 +160,15 @@
         }
         for report in heartbeat.server_limits
     ]
+    message.serverLoads = [
+        {
+            "server": report.server,
+            "running": min(report.running, MAX_COUNT),
+            "waiting": min(report.waiting, MAX_COUNT),
+            "ageMs": _encode_age(report.age_s),
+        }
+        for report in heartbeat.server_loads
+    ]
     packed: bytes = message.to_bytes_packed()
     return packed
 
@@ -203,6 +218,12 @@
                 )
                 for r in reader.serverLimits
             ],
+            server_loads=[
+                load_reports.ServerLoadReport(
+                    r.server, r.running, r.waiting, _decode_age(r.ageMs)
+                )
+                for r in reader.serverLoads
+            ],
         )
     except (capnp.KjException, packing.PackingError, ValueError) as error:
         raise exceptions.PeerError(
--- a/src/cowslipshift/platform/ingress.py
+++ b/src/cowslipshift/platform/ingress.py
@@ -9,6 +9,7 @@
 
 from cowslipshift import statuses
 from cowslipshift.platform import names
+from cowslipshift.workload import reports
 
 if TYPE_CHECKING:
     from collections.abc import Collection
@@ -59,6 +60,12 @@
 MAX_REPORTED_LOAD = 100_000
 """Larger numbers in a load report are a fault of the server."""
 
+PACE_FIELD = 3
+"""Position, in a load report, of how long work takes on the machine."""
+
+MAX_PACE_PERCENT = 10_000.0
+"""A larger pace in a load report is a fault of the server."""
+
 MAX_SERVER_WAIT_S = 3600.0
 """Longer waits that a server asks for are cut to this."""
 
@@ -93,7 +100,7 @@
         is_consistent: Whether status, statement and signature agree on
             whether the request ran.
         is_other_server: Whether another server than the one asked for answers.
-        load: Numbers of running and queued requests, if reported.
+        load: What the server states about its load, if anything.
         server_limit: Requests a second that the server takes from all hosts
             together; ``None`` if it states no limit.
         is_leaving: Whether the server states that it leaves.
@@ -106,7 +113,7 @@
     is_stated: bool
     is_consistent: bool
     is_other_server: bool
-    load: tuple[int, int] | None
+    load: reports.ServerLoad | None
     server_limit: float | None = None
     is_leaving: bool = False
     wait_s: float = 0.0
@@ -272,7 +279,7 @@
     return ""
 
 
-def _parse_load(text: str) -> tuple[int, int] | None:
+def _parse_load(text: str) -> reports.ServerLoad | None:
     parts = text.split(",")
     try:
         running, queued = int(parts[0]), int(parts[1])
@@ -280,4 +287,15 @@
         return None
     if min(running, queued) < 0 or max(running, queued) > MAX_REPORTED_LOAD:
         return None
-    return running, queued
+    pace = _parse_pace(parts[PACE_FIELD]) if len(parts) > PACE_FIELD else None
+    return reports.ServerLoad(running, queued, pace)
+
+
+def _parse_pace(text: str) -> float | None:
+    """Return the factor by which work takes longer; ``None`` if malformed."""
+    try:
+        percent = float(text)
+    except ValueError:
+        return None
+    # A number that is none compares as false.
+    return percent / 100.0 if 0.0 < percent <= MAX_PACE_PERCENT else None
--- a/src/cowslipshift/steering/backends.py
+++ b/src/cowslipshift/steering/backends.py
@@ -172,6 +172,19 @@
         self._usual_load = usual + weight * (self._other_load - usual)
         self._reported_s = now
 
+    def record_peer_load(
+        self, running: int, waiting: int, stated_s: float
+    ) -> None:
+        """Record a load report that another host heard, unless it is old.
+
+        Args:
+            running: Requests that the server worked on.
+            waiting: Requests in its queue.
+            stated_s: Time at which it said so.
+        """
+        if stated_s > self._reported_s:
+            self.record_load(running, waiting, stated_s)
+
     def _estimate_usual_load(self, age_s: float) -> float:
         return self._usual_load * math.exp(-age_s / USUAL_LOAD_DECAY_S)
 
--- a/src/cowslipshift/steering/balancer.py
+++ b/src/cowslipshift/steering/balancer.py
@@ -23,6 +23,7 @@
 from cowslipshift.steering import serverlimits
 from cowslipshift.steering import serversignals
 from cowslipshift.steering import splits
+from cowslipshift.workload import exchange
 
 if TYPE_CHECKING:
     from cowslipshift.steering import accounts
@@ -72,6 +73,7 @@
         self.inventory = inventories.Inventory()
         self.server_signals = serversignals.ServerSignals()
         self.server_limits = serverlimits.ServerLimits(membership.own)
+        self.load_exchange = exchange.LoadExchange(membership, self.inventory)
         self.round_trips = roundtrips.RoundTrips(
             membership.own.region, regions
         )
