Let the share of each region's requests follow demand and room

Cause: objects were placed by the sizes of the regions, as if each asked for equally much at all times. Ruled out: more candidates in other regions (a cold copy a request).

--- a/src/cowslipshift/edge/heartbeats.py
+++ b/src/cowslipshift/edge/heartbeats.py
@@ -217,6 +217,10 @@
         self._balancer.load_exchange.record_reports(
             heartbeat.server_loads, now
         )
+        if member is not None:
+            self._balancer.spreader.demand.record_peer(
+                heartbeat.host, member.region, heartbeat.demands, now
+            )
         for report in heartbeat.reports:
             rollout = self._balancer.rollouts.get(report.service)
             if rollout is not None:
@@ -264,4 +268,5 @@
             current_age_s=self._watcher.measure_age(now),
             server_limits=self._balancer.server_limits.list_reports(now),
             server_loads=self._balancer.load_exchange.list_reports(now),
+            demands=self._balancer.spreader.demand.list_reports(now),
         )
--- a/src/cowslipshift/edge/messages.capnp
+++ b/src/cowslipshift/edge/messages.capnp
@@ -33,6 +33,12 @@
   ageMs @3 :UInt32;
 }
 
+struct Demand {
+  service @0 :Text;
+  region @1 :Text;
+  rate @2 :Float32;
+}
+
 struct Word {
   host @0 :Text;
   incarnation @1 :UInt64;
@@ -46,6 +52,7 @@
   currentAgeMs @9 :UInt32 = 4294967295;
   serverLimits @10 :List(ServerLimit);
   serverLoads @11 :List(ServerLoad);
+  demands @12 :List(Demand);
 }
 
 struct Passage {
--- a/src/cowslipshift/edge/messages.py
+++ b/src/cowslipshift/edge/messages.py
@@ -16,6 +16,7 @@
 from cowslipshift.steering import rollouts
 from cowslipshift.steering import serverlimits
 from cowslipshift.store import interface
+from cowslipshift.workload import demand
 from cowslipshift.workload import reports as load_reports
 
 _schema: Any = capnp.load(
@@ -67,6 +68,7 @@
         current_age_s: Seconds since the replica was last proven current.
         server_limits: Limits that servers state.
         server_loads: Loads that servers state.
+        demands: Rates at which the host's callers ask for services.
         usages: Admitted requests and demand by account.
         reports: Counts of each roll-out.
     """
@@ -83,6 +85,7 @@
     current_age_s: float = math.inf
     server_limits: list[serverlimits.ServerLimitReport] = []
     server_loads: list[load_reports.ServerLoadReport] = []
+    demands: list[demand.DemandReport] = []
 
 
 class EncodedHeartbeat(msgspec.Struct, frozen=True):
@@ -169,6 +172,10 @@
         }
         for report in heartbeat.server_loads
     ]
+    message.demands = [
+        {"service": row.service, "region": row.region, "rate": row.rate}
+        for row in heartbeat.demands
+    ]
     packed: bytes = message.to_bytes_packed()
     return packed
 
@@ -224,6 +231,10 @@
                 )
                 for r in reader.serverLoads
             ],
+            demands=[
+                demand.DemandReport(r.service, r.region, _check_rate(r.rate))
+                for r in reader.demands
+            ],
         )
     except (capnp.KjException, packing.PackingError, ValueError) as error:
         raise exceptions.PeerError(
--- a/src/cowslipshift/edge/service.py
+++ b/src/cowslipshift/edge/service.py
@@ -463,6 +463,7 @@
                 )
                 self._watcher.request_reread()
             self._balancer.refill_budgets(passed_s)
+            self._adjust_region_shares(now)
             for service in self._balancer.count_lost_answers(now):
                 self._log.warn("version_condemned", service=service)
             for identity in self._balancer.inventory.drop_expired(now):
@@ -471,6 +472,16 @@
                 self._log.info("member_dropped", member=name)
             self._heartbeats.tick(now)
 
+    def _adjust_region_shares(self, now: float) -> None:
+        spreader = self._balancer.spreader
+        for service in spreader.adjust(now):
+            shares = spreader.get_shares(service) or {}
+            self._log.info(
+                "region_shares",
+                service=service,
+                shares=",".join(f"{r}:{s:.2f}" for r, s in shares.items()),
+            )
+
     async def _run_rollout_evaluation(self) -> None:
         """Evaluate roll-outs, in a task of its own.
 
--- a/src/cowslipshift/steering/balancer.py
+++ b/src/cowslipshift/steering/balancer.py
@@ -24,6 +24,7 @@
 from cowslipshift.steering import serversignals
 from cowslipshift.steering import splits
 from cowslipshift.workload import exchange
+from cowslipshift.workload import spreading
 
 if TYPE_CHECKING:
     from cowslipshift.steering import accounts
@@ -74,6 +75,9 @@
         self.server_signals = serversignals.ServerSignals()
         self.server_limits = serverlimits.ServerLimits(membership.own)
         self.load_exchange = exchange.LoadExchange(membership, self.inventory)
+        self.spreader = spreading.RegionSpreader(
+            membership, self.inventory, regions
+        )
         self.round_trips = roundtrips.RoundTrips(
             membership.own.region, regions
         )
@@ -85,7 +89,7 @@
         self._routes = routes.RouteTable(())
         self._splitters: dict[tuple[str, str], splits.Splitter] = {}
         self._rankings: dict[tuple[str, str], list[backends.BackendState]] = {}
-        self._ranked_generation = 0
+        self._ranked_generation = (0, 0)
         self._cold_servers = coldservers.ColdServers(membership)
         self._eligibility: steps.EligibilityRule = eligibility.Eligibility(
             self.inventory, self.server_signals, self.rollouts, regions
@@ -193,6 +197,9 @@
         service = self._splitters[route.key].choose_service()
         rollout = self.rollouts.get(service)
         self._retries.record_request(service)
+        regions = _intersect(route, account)
+        if self.spreader.is_active:
+            self.spreader.demand.record_request(service, regions, arrived_s)
         return calls.Call(
             id=request_id,
             route=route,
@@ -201,7 +208,7 @@
             service=service,
             arrived_s=arrived_s,
             deadline_s=deadline_s,
-            regions=_intersect(route, account),
+            regions=regions,
             uses_new_version=rollout is not None
             and rollout.choose_new_version(),
             tried=set(),
@@ -382,8 +389,9 @@
         return rollout.get_new_version_share() < 1.0
 
     def _rank(self, call: calls.Call) -> list[backends.BackendState]:
-        if self._ranked_generation != self.inventory.generation:
-            self._ranked_generation = self.inventory.generation
+        generation = (self.inventory.generation, self.spreader.generation)
+        if self._ranked_generation != generation:
+            self._ranked_generation = generation
             self._rankings.clear()
         key = (call.service, call.affinity_key or call.id)
         ranking = self._rankings.get(key)
@@ -398,6 +406,7 @@
                 self._own_region,
                 by_region,
                 len(set(self._regions.values())),
+                self.spreader.get_shares(call.service),
             )
             if call.affinity_key:
                 if len(self._rankings) >= MAX_CACHED_RANKINGS:
--- a/src/cowslipshift/steering/placement.py
+++ b/src/cowslipshift/steering/placement.py
@@ -64,6 +64,7 @@
     local_region: str,
     by_region: Mapping[str, list[backends.BackendState]],
     regions: int,
+    shares: Mapping[str, float] | None = None,
 ) -> list[backends.BackendState]:
     """Return the servers of a service in an object's order of preference.
 
@@ -72,12 +73,15 @@
         local_region: The region in which the object is requested.
         by_region: Servers by region.
         regions: Number of regions that clients call from.
+        shares: Fraction of the region's objects that each region serves;
+            ``None`` to compute them from the sizes of the regions.
     """
-    slots = {
-        region: float(sum(state.entry.slots for state in servers))
-        for region, servers in by_region.items()
-    }
-    shares = compute_region_shares(local_region, slots, regions)
+    if shares is None:
+        slots = {
+            region: float(sum(state.entry.slots for state in servers))
+            for region, servers in by_region.items()
+        }
+        shares = compute_region_shares(local_region, slots, regions)
     region_order = hashing.rank_weighted(key, shares)
     region_order += sorted(set(by_region) - set(region_order))
     ranked = []
