Move only what overloads a region; heed bound requests on few hosts

Change: the usual shares apply as long as they fill no region above the level; a region above it takes less of the others' requests first.

--- a/src/cowslipshift/steering/balancer.py
+++ b/src/cowslipshift/steering/balancer.py
@@ -155,6 +155,11 @@
             ):
                 self._splitters[key] = splits.Splitter(route.weighted_services)
         self._latencies.set_routes(self._routes.list_routes())
+        self.spreader.has_bound_demand = any(
+            route.regions for route in configuration.routes
+        ) or any(
+            account.regions for account in configuration.accounts.values()
+        )
         self.accounts.apply(configuration.accounts.values(), now)
         return True
 
--- a/src/cowslipshift/workload/regionshares.py
+++ b/src/cowslipshift/workload/regionshares.py
@@ -16,7 +16,7 @@
 
     from cowslipshift.workload import demand as demands
 
-COMFORTABLE_UTILISATION = 0.65
+COMFORTABLE_UTILISATION = 0.75
 """Load of a region, as a fraction of its slots, up to which nothing moves."""
 
 MAX_CHANGE_PER_S = 0.04
@@ -46,74 +46,113 @@
     local_region: str,
     demand: demands.Demand,
     rooms: Mapping[str, RegionRoom],
-) -> dict[str, float] | None:
+    usual: Mapping[str, Mapping[str, float]],
+) -> Mapping[str, float] | None:
     """Return the share of a region's movable requests for each region.
 
-    Fills all regions up to a common level, each with its own callers'
-    requests first. A region's bound requests take its room before that.
+    The usual shares apply as long as they fill no region above the common
+    level. A region above it first takes less of other regions' requests,
+    then less of its own callers'; its bound requests take its room before
+    that. What it leaves goes where there is room.
 
     Args:
         local_region: The region of the callers.
         demand: Requests per second of all callers.
         rooms: Servers by region.
+        usual: For each region of callers, its shares without overload, which
+            sum to one.
 
     Returns:
         Shares that sum to one; ``None`` if too little is known.
     """
     load = sum(room.load for room in rooms.values())
     rate = sum(demand.movable.values()) + sum(demand.bound.values())
-    local_rate = demand.movable.get(local_region, 0.0)
-    if load <= 0.0 or rate <= 0.0 or local_rate <= 0.0:
+    if load <= 0.0 or rate <= 0.0:
         return None
     work_s = load / rate
     free = {
         region: max(0.0, room.slots - work_s * demand.bound.get(region, 0.0))
         for region, room in rooms.items()
     }
+    work = {
+        region: work_s * demand.movable.get(region, 0.0) for region in usual
+    }
     total_free = sum(free.values())
-    if total_free <= 0.0:
+    if total_free <= 0.0 or local_region not in usual:
         return None
-    wanted = {
-        region: work_s * demand.movable.get(region, 0.0) for region in rooms
+    level = max(COMFORTABLE_UTILISATION, sum(work.values()) / total_free)
+    kept = {
+        region: _compute_kept(region, level * free[region], work, usual)
+        for region in rooms
     }
-    level = max(COMFORTABLE_UTILISATION, sum(wanted.values()) / total_free)
-    excess = wanted.get(local_region, 0.0) - level * free.get(
-        local_region, 0.0
-    )
     spare = {
-        region: max(0.0, level * free[region] - wanted[region])
-        for region in rooms
-        if region != local_region
+        region: max(0.0, level * free[region] - intake.usual)
+        for region, intake in kept.items()
     }
     total_spare = sum(spare.values())
-    if local_region not in rooms:
-        excess = work_s * local_rate
-    if excess <= 0.0 or total_spare <= 0.0:
-        return {local_region: 1.0} if local_region in rooms else None
-    moved = min(1.0, excess / (work_s * local_rate))
     shares = {
-        region: moved * amount / total_spare
-        for region, amount in spare.items()
-        if amount > 0.0
+        region: share * kept[region].choose(region == local_region)
+        for region, share in usual[local_region].items()
     }
-    if moved < 1.0:
-        shares[local_region] = 1.0 - moved
+    moved = 1.0 - sum(shares.values())
+    if moved <= 0.0 or total_spare <= 0.0:
+        return usual[local_region]
+    for region, amount in spare.items():
+        shares[region] = shares.get(region, 0.0) + moved * amount / total_spare
     return shares
 
 
+class _Intake(msgspec.Struct, frozen=True):
+    """What a region takes of the requests that usually come to it.
+
+    Attributes:
+        usual: Work that usually comes to it.
+        own: Fraction of its own callers' requests that it keeps.
+        foreign: Fraction of other regions' requests that it keeps.
+    """
+
+    usual: float
+    own: float
+    foreign: float
+
+    def choose(self, is_own: bool) -> float:
+        """Return the fraction that it keeps."""
+        return self.own if is_own else self.foreign
+
+
+def _compute_kept(
+    region: str,
+    room: float,
+    work: Mapping[str, float],
+    usual: Mapping[str, Mapping[str, float]],
+) -> _Intake:
+    """Return what a region keeps if only so much work fits."""
+    own = work.get(region, 0.0) * usual.get(region, {}).get(region, 0.0)
+    foreign = sum(
+        amount * usual[origin].get(region, 0.0)
+        for origin, amount in work.items()
+        if origin != region
+    )
+    excess = own + foreign - room
+    if excess <= 0.0:
+        return _Intake(own + foreign, 1.0, 1.0)
+    if excess < foreign:
+        return _Intake(own + foreign, 1.0, 1.0 - excess / foreign)
+    return _Intake(own + foreign, max(0.0, room) / own if own else 0.0, 0.0)
+
+
 class RegionShares:
     """The shares in force for one service, which follow the target slowly.
 
     Args:
-        initial: Shares before anything is known of demand.
+        initial: Shares, which sum to one, before demand is known.
         now: Present time.
     """
 
     __slots__ = ("_is_moving", "_reported", "_updated_s", "shares")
 
     def __init__(self, initial: Mapping[str, float], now: float) -> None:
-        total = sum(initial.values()) or 1.0
-        self.shares = {r: share / total for r, share in initial.items()}
+        self.shares = dict(initial)
         self._reported = self.shares
         self._updated_s = now
         self._is_moving = False
@@ -152,6 +191,12 @@
         return True
 
 
+def normalise(shares: Mapping[str, float]) -> dict[str, float]:
+    """Return shares in the same proportion that sum to one."""
+    total = sum(shares.values())
+    return {r: s / total for r, s in shares.items()} if total > 0.0 else {}
+
+
 def _measure_distance(
     first: Mapping[str, float], second: Mapping[str, float]
 ) -> float:
--- a/src/cowslipshift/workload/spreading.py
+++ b/src/cowslipshift/workload/spreading.py
@@ -1,7 +1,8 @@
 """Spreads each region's requests over the regions' servers.
 
-It joins what hosts know of demand and of load, where many hosts share the
-servers; elsewhere the shares follow from the sizes of the regions.
+It joins what hosts know of demand and of load where many hosts share the
+servers, or where some requests may run in some regions only; elsewhere the
+shares follow from the sizes of the regions.
 """
 
 from __future__ import annotations
@@ -26,11 +27,12 @@
     """The shares of all services, as this host applies them.
 
     Args:
-        membership: The hosts; up to some twenty, the sizes of regions decide.
+        membership: The hosts.
         inventory: The servers.
         regions: Region by data centre.
 
     Attributes:
+        has_bound_demand: Whether some requests may run in some regions only.
         demand: Requests of callers by service.
         generation: Increases with each change of the shares.
     """
@@ -43,6 +45,7 @@
         "_updated_s",
         "demand",
         "generation",
+        "has_bound_demand",
     )
 
     def __init__(
@@ -53,6 +56,7 @@
     ) -> None:
         self.demand = demands.DemandTable(membership.own.region)
         self.generation = 0
+        self.has_bound_demand = False
         self._membership = membership
         self._inventory = inventory
         self._regions = regions
@@ -62,7 +66,7 @@
     @property
     def is_active(self) -> bool:
         """Whether shares follow demand."""
-        return self._membership.uses_relays
+        return self._membership.uses_relays or self.has_bound_demand
 
     def get_shares(self, service: str) -> Mapping[str, float] | None:
         """Return the shares of a service; ``None`` for those by size."""
@@ -96,17 +100,20 @@
         now: float,
     ) -> None:
         own_region = self._membership.own.region
-        target = regionshares.divide_requests(own_region, demand, rooms)
+        slots = {region: room.slots for region, room in rooms.items()}
+        regions = set(self._regions.values())
+        usual = {
+            region: regionshares.normalise(
+                placement.compute_region_shares(region, slots, len(regions))
+            )
+            for region in regions
+        }
+        target = regionshares.divide_requests(own_region, demand, rooms, usual)
         if target is None:
             return
         shares = self._by_service.get(service)
         if shares is None:
-            by_size = placement.compute_region_shares(
-                own_region,
-                {region: room.slots for region, room in rooms.items()},
-                len(set(self._regions.values())),
-            )
-            shares = regionshares.RegionShares(by_size, now)
+            shares = regionshares.RegionShares(usual[own_region], now)
             self._by_service[service] = shares
         if shares.follow(target, now):
             self.generation += 1
