--- a/src/cowslipshift/steering/accounts.py
+++ b/src/cowslipshift/steering/accounts.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 from cowslipshift.steering import limiters
@@ -17,8 +18,7 @@
     from cowslipshift.steering import model
 
 OVERDUE_AFTER_S = 0.5
-"""Silence after which a host is assumed to keep admitting at its last reported
-demand."""
+"""Silence after which a host's heartbeat is overdue."""
 
 SILENT_AFTER_S = 1.2
 """Silence after which a host is assumed to use at least its even share."""
@@ -105,7 +105,7 @@
                 hosts.
         """
         liveness = self.assess_peers(now, announced, timeout_factor)
-        missing = len(liveness.silent) + len(liveness.overdue_s)
+        missing = len(liveness.silent) + liveness.overdue
         # With many hosts some heartbeat is always overdue, as one in a hundred
         # is lost.
         if missing > liveness.hosts // memberships.MAX_FULL_MESH_HOSTS:
@@ -115,7 +115,7 @@
         reports = (
             limiter.report(
                 now,
-                liveness.hosts,
+                liveness,
                 is_full_report or (has_newcomer and limiter.is_filling),
             )
             for limiter in self._limiters.values()
@@ -126,11 +126,12 @@
         self, host: str, reports: Iterable[limiters.Usage], now: float
     ) -> None:
         """Record the usage of accounts that another host reported."""
-        self._last_heard_s[host] = max(now, self._last_heard_s.get(host, now))
+        heard_s = self._last_heard_s.get(host, -math.inf)
+        self._last_heard_s[host] = max(now, heard_s)
         for usage in reports:
             limiter = self._limiters.get(usage.account)
             if limiter is not None:
-                limiter.record_peer(host, usage, now)
+                limiter.record_peer(host, usage, now, heard_s)
 
     def assess_peers(
         self, now: float, announced: set[str], timeout_factor: float = 1.0
@@ -150,7 +151,7 @@
                 for limiter in self._limiters.values():
                     limiter.forget_peer(host)
         hosts = announced | self._last_heard_s.keys()
-        overdue_s = {}
+        overdue = 0
         silent = set()
         for host in hosts:
             age_s = now - self._last_heard_s.get(host, self._started_s)
@@ -158,7 +159,7 @@
             if SILENT_AFTER_S < age_s <= SHARE_RESERVED_S:
                 silent.add(host)
             elif OVERDUE_AFTER_S < age_s <= SILENT_AFTER_S:
-                overdue_s[host] = age_s - OVERDUE_AFTER_S
+                overdue += 1
         return limiters.PeerLiveness(
-            len(hosts) + 1, frozenset(silent), overdue_s
+            len(hosts) + 1, frozenset(silent), overdue, self._last_heard_s
         )
--- a/src/cowslipshift/steering/limiters.py
+++ b/src/cowslipshift/steering/limiters.py
@@ -1,51 +1,64 @@
 """Limits the request rate of one client account over all hosts together.
 
 In any window, an account may send its rate times the window plus its burst.
-Far below the limit everything is admitted, so an account within its rate is
-never refused because of how its requests are distributed over hosts. Near
-the limit, each host admits, from one heartbeat to the next, its share of the
-remaining quota, in proportion to its demand. The shares sum to one, so the
-quota is not spent twice.
+Each host estimates what all hosts have admitted: its own admissions, those
+that others reported, and those that they have not reported yet. While the
+quota suffices for all that arrives until hosts hear of each other, everything
+is admitted. Near the limit, all hosts admit the same fraction of what they
+receive, which follows from the room left, so the quota is not spent twice and
+does not depend on how requests are distributed over hosts.
 """
 
 from __future__ import annotations
 
-import collections
 import math
 from typing import TYPE_CHECKING
 
 import msgspec
 
 from cowslipshift.coordination import hashing
+from cowslipshift.steering import admissions
+from cowslipshift.steering import peerusages
 
 if TYPE_CHECKING:
     from cowslipshift.steering import model
 
-FREE_FRACTION = 0.75
-"""Fraction of the limit below which nothing is refused."""
-
 TOLERANCE_FRACTION = 0.3
 """Fraction of the tolerated excess that is granted to clients; the rest covers
 admissions that hosts have not yet reported to each other."""
 
-EVEN_FRACTION = 0.3
-"""Fraction of the remaining quota that is shared evenly, whatever the demand.
-"""
+DEMAND_WINDOW_S = 0.35
+
+GROWTH_DEMAND = 2.0
+"""Requests per second on one host below which growth of its own demand says
+little about the demand of the others."""
+
+GROWTH_MARGIN = 1.5
+"""Growth that may be chance."""
+
+MAX_GROWTH = 6.0
+"""Factor by which the demand of the others is assumed to have grown at most
+since their reports."""
 
-ROUNDING_STEP = 0.618034
-"""Step of the point between two whole requests at which a share is rounded up;
-multiples of the golden ratio are distributed evenly between 0 and 1."""
+UNKNOWN_FRACTION = 0.1
+"""Fraction of the limit below which the admissions that are known don't tell
+which hosts receive requests of the account."""
 
-UNREPORTED_S = 1.0
-"""Seconds of all hosts' demand that the remaining quota must cover if shares
-are to be rounded up, as admissions of that time are not yet reported."""
+FRACTION_WINDOW_S = 0.4
+"""Time over which the admitted fraction is averaged."""
 
-WINDOW_SLOT_S = 0.25
-DEMAND_WINDOW_S = 1.0
+AHEAD_FACTOR = 0.5
+"""Time ahead for which room is divided, in mean ages of the reports."""
 
-DEMAND_HOLD_S = 0.2
-"""How long the demand that a peer reported counts without decay, as heartbeats
-may be lost or wait for a relay."""
+MAX_AHEAD_S = 1.0
+"""Longest time ahead for which room is divided among the hosts."""
+
+SOON_S = 0.05
+"""Time ahead over which the rate of leaving admissions is measured."""
+
+WINDOW_MARGIN_S = 0.1
+"""Time for which admissions count beyond the window, as requests reach servers
+later than they are admitted, by various times."""
 
 RESTART_FRACTION = 0.5
 """Fraction of the limit that a restarted host grants at first, as it does not
@@ -57,23 +70,30 @@
 
 MIN_RETRY_AFTER_S = 0.2
 MAX_RETRY_AFTER_S = 2.0
+RETRY_STEP_S = 0.2
+
 REPORT_CHANGE_FRACTION = 0.02
 """Fraction of a host's even share of the limit whose change is worth a report.
-All hosts together leave less than that fraction of the limit unreported."""
+"""
 
 DEMAND_CHANGE_FRACTION = 0.4
 """Change of the demand, as a fraction of the reported demand, that is worth a
-report when an account nears its limit, as demand determines the shares."""
+report when an account nears its limit."""
 
 HEARTBEATS_PER_REPORT = 8
 """Heartbeats after which a count is reported again, as one may have been lost.
 """
 
+REPEATS = 2
+"""Further heartbeats that tell the count of an account without room."""
+
 FILLING_FRACTION = 0.4
 """Fraction of the limit above which usage is reported without delay."""
 
 URGENT_FRACTION = 0.08
-"""Fraction of the limit that all hosts may admit before they report it."""
+SURGE_FRACTION = 0.25
+"""Fractions of the limit that all hosts may admit before they report it, when
+the account nears its limit and before."""
 
 
 class Usage(msgspec.Struct, frozen=True):
@@ -83,11 +103,13 @@
         account: Name of the account.
         admitted: Requests admitted in the last window.
         demand: Requests per second received lately.
+        total: Requests admitted since the host started; 0 if not told.
     """
 
     account: str
     admitted: int
     demand: float
+    total: int = 0
 
 
 class PeerLiveness(msgspec.Struct, frozen=True):
@@ -96,13 +118,15 @@
     Attributes:
         hosts: Number of hosts that may admit requests, this one included.
         silent: Hosts that count as silent.
-        overdue_s: Seconds by which the heartbeat of a host that is not yet
-            silent is overdue.
+        overdue: Number of hosts whose heartbeat is overdue and which are not
+            silent yet.
+        heard_s: Time of the last heartbeat by host.
     """
 
     hosts: int = 1
     silent: frozenset[str] = frozenset()
-    overdue_s: dict[str, float] = {}
+    overdue: int = 0
+    heard_s: dict[str, float] = {}
 
 
 class QuotaPolicy(msgspec.Struct, frozen=True):
@@ -119,52 +143,29 @@
     slack: float = 0.0
 
 
-class _PeerUsage:
-    """Last usage of the account that another host reported."""
-
-    __slots__ = ("admitted", "demand", "reported_s")
+class _Room(msgspec.Struct, frozen=True):
+    """Room in the quota, and what all hosts may want of it.
 
-    def __init__(self, usage: Usage, now: float) -> None:
-        self.admitted = usage.admitted
-        self.demand = usage.demand
-        self.reported_s = now
+    Attributes:
+        limit: Requests allowed in the window.
+        used: Requests of the window that count against it.
+        unreported: Admissions of other hosts that are not reported yet.
+        leaving: Those that leave the window in the time ahead.
+        arriving: Requests that arrive in the time ahead.
+    """
 
-    def measure_demand(self, now: float) -> float:
-        """Return its demand, decayed since the report.
+    limit: float
+    used: float
+    unreported: float
+    leaving: float
+    arriving: float
 
-        A host whose demand rises reports it.
-        """
-        passed_s = now - self.reported_s - DEMAND_HOLD_S
-        if passed_s <= 0.0:
-            return self.demand
-        return self.demand * math.exp(-passed_s / DEMAND_WINDOW_S)
-
-
-class _SlidingWindow:
-    """Counts events in a sliding window."""
-
-    __slots__ = ("_slots", "_window_s", "total")
-
-    def __init__(self, window_s: float) -> None:
-        self._window_s = window_s
-        self._slots: collections.deque[list[float]] = collections.deque()
-        self.total = 0
-
-    def add(self, now: float) -> None:
-        """Count one event."""
-        if self._slots and now - self._slots[-1][0] < WINDOW_SLOT_S:
-            self._slots[-1][1] += 1
-        else:
-            self._slots.append([now, 1])
-        self.total += 1
-
-    def count(self, now: float) -> int:
-        """Return the count; a slot is dropped when all of it is too old."""
-        while self._slots and (
-            now - self._slots[0][0] > self._window_s + WINDOW_SLOT_S
-        ):
-            self.total -= int(self._slots.popleft()[1])
-        return self.total
+    def compute_fraction(self) -> float:
+        """Return the fraction of requests that all hosts may admit."""
+        left = self.limit - self.used - self.unreported + self.leaving
+        if left < 1.0:
+            return 0.0
+        return left / self.arriving if left < self.arriving else 1.0
 
 
 class AccountLimiter:
@@ -175,24 +176,29 @@
         policy: How requests are counted against its quota.
         is_restart: Whether the account was in use before this host started.
         now: Present time.
-        host: Name of this host; it determines where shares are rounded up.
+        host: Name of this host; hosts round at different points.
     """
 
     __slots__ = (
+        "_admitted",
+        "_credit",
         "_demand",
         "_demand_s",
+        "_fraction",
+        "_fraction_s",
+        "_heartbeat_demands",
+        "_heartbeats_since_report",
         "_is_filling",
         "_limit",
-        "_admitted",
         "_peers",
-        "_rounding",
-        "_unreported",
-        "_started_s",
         "_policy",
-        "_reported_admitted",
-        "_reported_demand",
+        "_repeats",
+        "_reported",
+        "_reported_s",
+        "_started_s",
+        "_total",
+        "_unreported",
         "_window_s",
-        "_heartbeats_since_report",
         "name",
     )
 
@@ -205,19 +211,26 @@
         host: str = "",
     ) -> None:
         self.name = account.name
-        self._rounding = hashing.hash_fraction(f"{host}|{account.name}")
+        self._credit = hashing.hash_fraction(f"{host}|{account.name}")
         self._policy = policy
         self._window_s = policy.window_s
         self._started_s = now if is_restart else -math.inf
-        self._admitted = _SlidingWindow(policy.window_s)
-        self._peers: dict[str, _PeerUsage] = {}
+        self._admitted = admissions.AdmissionLedger(
+            policy.window_s + WINDOW_MARGIN_S
+        )
+        self._total = 0
+        self._peers = peerusages.PeerUsages(policy.window_s + WINDOW_MARGIN_S)
         self._demand = 0.0
         self._demand_s = now
+        self._fraction = 1.0
+        self._fraction_s = now
+        self._heartbeat_demands = (0.0, 0.0)
         self._is_filling = False
         self._unreported = 0
-        self._reported_admitted = 0
-        self._reported_demand = 0.0
+        self._reported = Usage(account.name, 0, 0.0)
+        self._reported_s = now
         self._heartbeats_since_report = 0
+        self._repeats = 0
         self._limit = 0.0
         self.set_limit(account)
 
@@ -239,36 +252,109 @@
         Returns:
             0 if the request is admitted, else seconds until there is quota.
         """
-        self._record_demand(now)
+        demand = self._record_demand(now)
         if self._limit > 0.0:
             if self._exceeds_joining_share(now, liveness):
                 return MIN_RETRY_AFTER_S
-            limit = self.measure_limit(now)
-            used = self.measure_used(now, liveness)
-            total = self._measure_total_demand(now, liveness)
-            share = self._measure_share(total, now, liveness)
-            # A host whose heartbeat is overdue is using its share of the
-            # quota.
-            remaining = (limit - used) * self._measure_available_fraction(
-                now, liveness
-            )
-            # Admissions since the last heartbeat are already counted as used.
-            allowance = share * (remaining + self._unreported)
-            if total * UNREPORTED_S <= remaining:
-                # With many hosts a share is less than one request. Rounded
-                # down it would admit nothing; rounding at varying points
-                # preserves its mean.
-                allowance += self._rounding
-            if (
-                used >= FREE_FRACTION * limit
-                and self._unreported + 1 > allowance
-            ):
-                return _clamp(self._window_s / max(share * limit, 0.01))
-            self._is_filling = used >= FILLING_FRACTION * limit
+            room = self._measure_room(now, liveness, demand)
+            fraction = self._update_fraction(now, room)
+            if fraction < 1.0:
+                self._credit += fraction
+                if self._credit < 1.0:
+                    return self._choose_retry_after(now, room)
+                self._credit -= 1.0
+            self._is_filling = room.used >= FILLING_FRACTION * room.limit
         self._admitted.add(now)
+        self._total += 1
         self._unreported += 1
         return 0.0
 
+    def _measure_room(
+        self, now: float, liveness: PeerLiveness, own_demand: float
+    ) -> _Room:
+        limit = self.measure_limit(now)
+        peers = self._peers.estimate(
+            now, liveness, limit / max(1, liveness.hosts), self._is_filling
+        )
+        used = self._admitted.count(now) + self._peers.count(now)
+        others = peers.users
+        if used < UNKNOWN_FRACTION * limit:
+            others = liveness.hosts - len(liveness.silent) - 1
+        grown = self._estimate_demand(own_demand, peers.demand, others)
+        since_s = peers.age_s or DEMAND_WINDOW_S
+        unreported = peers.unreported + (grown - peers.demand) * since_s
+        demand = max(own_demand, 1.0) + grown
+        ahead_s = min(MAX_AHEAD_S, AHEAD_FACTOR * since_s)
+        leaving = self._count_leaving(now, ahead_s, peers.live_fraction)
+        return _Room(
+            limit,
+            used + peers.reserved,
+            self._fraction * unreported,
+            leaving,
+            ahead_s * demand,
+        )
+
+    def _update_fraction(self, now: float, room: _Room) -> float:
+        fraction = room.compute_fraction()
+        passed_s = now - self._fraction_s
+        if passed_s > 0.0:
+            kept = math.exp(-passed_s / FRACTION_WINDOW_S)
+            self._fraction = fraction + (self._fraction - fraction) * kept
+            self._fraction_s = now
+        return fraction
+
+    def _count_leaving(
+        self, now: float, ahead_s: float, live_fraction: float
+    ) -> float:
+        """Return the admissions that make room in the time ahead.
+
+        Room that many leave at once is not there before they leave, and that
+        of silent hosts stays reserved.
+        """
+        if ahead_s <= 0.0:
+            return 0.0
+        soon_s = min(ahead_s, SOON_S)
+        leaving = []
+        for within_s in (soon_s, ahead_s):
+            own = self._admitted.count_leaving(now, within_s)
+            others = self._peers.count_leaving(now, within_s)
+            leaving.append(
+                (own + live_fraction * others) * ahead_s / within_s
+            )
+        return min(leaving)
+
+    def _estimate_demand(
+        self, own: float, reported: float, others: int
+    ) -> float:
+        """Return the demand of the others, which may have grown since.
+
+        A crowd arrives at all hosts, so it grows there as it does here.
+
+        Args:
+            own: Demand on this host.
+            reported: Demand that the others reported.
+            others: Number of hosts that may receive the crowd.
+        """
+        before = self._heartbeat_demands[0]
+        usual = max(before, reported / max(1, others)) + GROWTH_DEMAND
+        factor = min(MAX_GROWTH, (GROWTH_DEMAND + own) / usual / GROWTH_MARGIN)
+        added = own - GROWTH_MARGIN * before - GROWTH_DEMAND
+        return reported + max(0.0, (factor - 1.0) * reported, added * others)
+
+    def _choose_retry_after(self, now: float, room: _Room) -> float:
+        """Return when a caller that returns would probably be admitted."""
+        wait_s = MIN_RETRY_AFTER_S
+        while wait_s < MAX_RETRY_AFTER_S:
+            leaving = self._admitted.count_leaving(now, wait_s)
+            leaving += self._peers.count_leaving(now, wait_s)
+            if room.used + room.unreported + room.arriving - leaving <= (
+                room.limit
+            ):
+                break
+            wait_s += RETRY_STEP_S
+        expected_s = MIN_RETRY_AFTER_S / max(0.01, room.compute_fraction())
+        return min(MAX_RETRY_AFTER_S, wait_s, expected_s)
+
     def _exceeds_joining_share(
         self, now: float, liveness: PeerLiveness
     ) -> bool:
@@ -280,95 +366,95 @@
         if elapsed_s >= JOIN_BLIND_S or liveness.hosts <= 1:
             return False
         even_rate = self._limit / self._window_s / liveness.hosts
-        return self._admitted.total >= even_rate * elapsed_s + self._rounding
+        return self._total >= even_rate * elapsed_s + self._credit
 
     @property
     def is_filling(self) -> bool:
         """Whether the account nears its limit."""
         return self._is_filling
 
-    def _measure_total_demand(
-        self, now: float, liveness: PeerLiveness
-    ) -> float:
-        """Return the requests per second of all hosts that are not silent."""
-        return self._measure_demand(now) + sum(
-            peer.measure_demand(now)
-            for name, peer in self._peers.items()
-            if name not in liveness.silent
-        )
-
-    def _measure_share(
-        self, total: float, now: float, liveness: PeerLiveness
-    ) -> float:
-        own = self._measure_demand(now)
-        live_hosts = max(1, liveness.hosts - len(liveness.silent))
-        by_demand = own / total if total > 0.0 else 1.0 / live_hosts
-        return EVEN_FRACTION / live_hosts + (1.0 - EVEN_FRACTION) * by_demand
-
-    def _measure_available_fraction(
-        self, now: float, liveness: PeerLiveness
-    ) -> float:
-        own = self._measure_demand(now)
-        total = own + sum(usage.demand for usage in self._peers.values())
-        overdue = sum(
-            self._peers[name].demand
-            for name in liveness.overdue_s
-            if name in self._peers
-        )
-        return 1.0 - overdue / total if total > 0.0 else 1.0
-
     def report(
-        self, now: float, hosts: int, is_full_report: bool
+        self, now: float, liveness: PeerLiveness, is_full_report: bool
     ) -> Usage | None:
         """Return the usage to report, if any, and start a new period.
 
-        Most heartbeats omit an account whose count has hardly changed: with
-        many hosts, the counts are most of what hosts send each other.
+        Most heartbeats omit an account that is used as its last report lets
+        the others expect: with many hosts, the counts are most of what hosts
+        send each other.
 
         Args:
             now: Present time.
-            hosts: Hosts that may admit requests, this one included.
+            liveness: Which hosts sent no heartbeat lately.
             is_full_report: Whether to report without a significant change.
         """
         self._unreported = 0
-        self._rounding = (self._rounding + ROUNDING_STEP) % 1.0
-        admitted = self._admitted.count(now)
         self._heartbeats_since_report += 1
-        change = abs(admitted - self._reported_admitted)
-        min_change = max(
-            1.0, REPORT_CHANGE_FRACTION * self._limit / max(1, hosts)
+        if self._total != self._reported.total:
+            self._repeats = REPEATS
+        counted = self._admitted.count(now) + self._peers.count(now)
+        self._is_filling = counted >= FILLING_FRACTION * self._limit > 0.0
+        demand = self._measure_demand(now)
+        if self._is_filling:
+            room = self._measure_room(now, liveness, demand)
+            self._update_fraction(now, room)
+        self._heartbeat_demands = (self._heartbeat_demands[1], demand)
+        usage = Usage(
+            self.name, round(self._admitted.count(now)), demand, self._total
         )
         is_due = (
             is_full_report
             or self._heartbeats_since_report >= HEARTBEATS_PER_REPORT
         )
-        is_due = is_due and bool(admitted or self._reported_admitted)
-        demand = self._measure_demand(now)
-        is_sudden = abs(
-            demand - self._reported_demand
-        ) > 1.0 + DEMAND_CHANGE_FRACTION * (self._reported_demand)
-        is_significant = change >= min_change or (
-            is_sudden and self._is_filling
-        )
-        if not is_due and not is_significant:
+        is_used = bool(usage.admitted or self._reported.admitted)
+        if not (is_due and is_used) and not self._is_significant(
+            usage, now, liveness.hosts
+        ):
             return None
-        self._reported_admitted = admitted
-        self._reported_demand = demand
+        self._reported = usage
+        self._reported_s = now
         self._heartbeats_since_report = 0
-        return Usage(self.name, admitted, demand)
+        return usage
+
+    def _is_significant(self, usage: Usage, now: float, hosts: int) -> bool:
+        """Tell whether usage differs from what the others expect."""
+        last = self._reported
+        share = self._limit / max(1, hosts)
+        change = abs(usage.total - last.total)
+        if self._is_filling:
+            demand_change = abs(usage.demand - last.demand)
+            # A lost or late report of a full account is soon made up for.
+            if self._fraction < 1.0 and self._repeats > 0:
+                self._repeats -= 1
+                return True
+            return change >= max(
+                1.0, REPORT_CHANGE_FRACTION * share
+            ) or demand_change > 1.0 + DEMAND_CHANGE_FRACTION * last.demand
+        passed_s = now - self._reported_s
+        expected = last.admitted * passed_s / self._window_s
+        return abs(change - expected) >= 1.0
+
+    def record_peer(
+        self, host: str, usage: Usage, now: float, heard_s: float = -math.inf
+    ) -> None:
+        """Record another host's report.
 
-    def record_peer(self, host: str, usage: Usage, now: float) -> None:
-        """Record another host's report; `now` is the time of the report."""
-        self._peers[host] = _PeerUsage(usage, now)
+        Args:
+            host: The host.
+            usage: Its usage.
+            now: Time of the report.
+            heard_s: Time of its heartbeat before, if any.
+        """
+        self._peers.record(host, usage, now, heard_s)
 
     def forget_peer(self, host: str) -> None:
         """Forget a host that is gone."""
-        self._peers.pop(host, None)
+        self._peers.forget(host)
 
     def is_urgent(self, hosts: int) -> bool:
         """Tell whether the other hosts should hear of this account at once."""
         unreported = self._unreported * max(1, hosts)
-        return self._is_filling and unreported > URGENT_FRACTION * self._limit
+        fraction = URGENT_FRACTION if self._is_filling else SURGE_FRACTION
+        return unreported > fraction * self._limit > 0.0
 
     def measure_limit(self, now: float) -> float:
         """Return the requests allowed in a window."""
@@ -380,32 +466,17 @@
         )
 
     def measure_used(self, now: float, liveness: PeerLiveness) -> float:
-        """Return the requests that all hosts admitted in the window.
-
-        A silent host may be partitioned and keep admitting. It is assumed to
-        use what it last reported, or its even share if that is more.
-        """
-        used = float(self._admitted.count(now))
-        for name, usage in self._peers.items():
-            if name not in liveness.silent:
-                overdue_s = liveness.overdue_s.get(name, 0.0)
-                used += usage.admitted + usage.demand * overdue_s
-        even_share = self.measure_limit(now) / max(1, liveness.hosts)
-        for name in liveness.silent:
-            reported = self._peers.get(name)
-            used += max(
-                even_share, reported.admitted if reported is not None else 0
-            )
-        return used
+        """Return the requests of the window that count against the limit."""
+        room = self._measure_room(now, liveness, self._measure_demand(now))
+        return room.used + room.unreported
 
-    def _record_demand(self, now: float) -> None:
-        self._demand = self._measure_demand(now) + 1.0 / DEMAND_WINDOW_S
+    def _record_demand(self, now: float) -> float:
+        """Count a request; return the demand without it."""
+        demand = self._measure_demand(now)
+        self._demand = demand + 1.0 / DEMAND_WINDOW_S
         self._demand_s = now
+        return demand
 
     def _measure_demand(self, now: float) -> float:
         passed_s = max(0.0, now - self._demand_s)
         return self._demand * math.exp(-passed_s / DEMAND_WINDOW_S)
-
-
-def _clamp(seconds: float) -> float:
-    return min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, seconds))
