--- a/src/cowslipshift/steering/peerusages.py
+++ b/src/cowslipshift/steering/peerusages.py
@@ -21,6 +21,11 @@
 may all have left it; they may have come in a burst."""
 
 
+LATE_FRACTION = 0.5
+"""Last fraction of the window in which the admissions of a host count that
+was not heard for so long."""
+
+
 class PeerEstimate(msgspec.Struct, frozen=True):
     """What the other hosts use of a quota, as far as one host can tell.
 
@@ -100,7 +105,8 @@
             if omitted > 0.0:
                 self._admitted.add_span(omitted, last.reported_s, heard_s)
             added = min(added - omitted, float(usage.admitted))
-            heard_s = max(heard_s, sent_s - self._window_s)
+        # After a long silence they may all have come late in it.
+        heard_s = max(heard_s, sent_s - LATE_FRACTION * self._window_s)
         if added:
             self._admitted.add_span(added, heard_s, sent_s)
         self._usages[host] = _PeerUsage(usage, sent_s)
