--- a/src/cowslipshift/edge/handler.py
+++ b/src/cowslipshift/edge/handler.py
@@ -18,6 +18,7 @@
     from collections.abc import Callable
 
     from cowslipshift.edge import callers
+    from cowslipshift.steering import limiters
     from cowslipshift.steering import model
 
 ANSWER_MARGIN_S = 0.03
@@ -31,6 +32,9 @@
 
 MAX_URL_BYTES = 16_384
 
+NOT_RUN_STATUS = 503
+"""Status of refusals of admitted requests that no server has run."""
+
 
 class RequestHandler:
     """Handles callers' requests and gives each of them one answer.
@@ -145,8 +149,10 @@
         if not route.is_idempotent:
             # The connection may be closed after an answer in front of it.
             await received.wait_turn()
+        admitted_s = self._clock.now()
+        limiter = None
         if account is not None and not route.is_public:
-            self._admit(account, self._clock.now())
+            limiter = self._admit(account, admitted_s)
         call = self._balancer.open_call(
             request_headers.id,
             route,
@@ -158,7 +164,14 @@
         request_attempts = attempts.Attempts(
             self._deps, request, request_headers, call, body
         )
-        return await self._run(request_attempts, route.is_idempotent)
+        try:
+            return await self._run(request_attempts, route.is_idempotent)
+        except attempts.Refused as refusal:
+            if limiter is not None:
+                refusal.inputs["account"] = limiter.name
+                if refusal.status == NOT_RUN_STATUS:
+                    limiter.withdraw(admitted_s)
+            raise
 
     async def _run(
         self, request_attempts: attempts.Attempts, is_idempotent: bool
@@ -187,10 +200,12 @@
             and arrived_s + route.timeout_s > self._stop_s
         )
 
-    def _admit(self, account: model.Account, now: float) -> None:
+    def _admit(
+        self, account: model.Account, now: float
+    ) -> limiters.AccountLimiter | None:
         limiter = self._balancer.accounts.find_limiter(account.name)
         if limiter is None:
-            return
+            return None
         liveness = self._balancer.assess_peers(now)
         wait_s = limiter.try_admit(now, liveness)
         if wait_s > 0.0:
@@ -200,13 +215,13 @@
                 wait_s,
                 rank=account.priority,
                 account=account.name,
-                used=limiter.measure_used(now, liveness),
-                limit=limiter.measure_limit(now),
+                **limiter.describe(now, liveness),
                 hosts=liveness.hosts,
                 silent_hosts=len(liveness.silent),
             )
         if limiter.is_urgent(liveness.hosts):
             self._on_urgent()
+        return limiter
 
     async def _read_body(
         self, received: callers.CallerRequest, limit: int, until_s: float
--- a/src/cowslipshift/edge/messages.capnp
+++ b/src/cowslipshift/edge/messages.capnp
@@ -6,6 +6,7 @@
   account @0 :Text;
   admitted @1 :UInt32;
   demand @2 :Float32;
+  total @3 :UInt64;
 }
 
 struct RolloutCounts {
--- a/src/cowslipshift/edge/messages.py
+++ b/src/cowslipshift/edge/messages.py
@@ -134,7 +134,12 @@
         hasStore=heartbeat.is_store_reachable,
         currentAgeMs=_encode_age(heartbeat.current_age_s),
         usages=[
-            {"account": u.account, "admitted": u.admitted, "demand": u.demand}
+            {
+                "account": u.account,
+                "admitted": u.admitted,
+                "demand": u.demand,
+                "total": u.total,
+            }
             for u in heartbeat.usages
         ],
         rollouts=[
@@ -193,7 +198,7 @@
             is_urgent=reader.isUrgent,
             is_store_reachable=reader.hasStore,
             usages=[
-                limiters.Usage(u.account, u.admitted, u.demand)
+                limiters.Usage(u.account, u.admitted, u.demand, u.total)
                 for u in reader.usages
             ],
             reports=[
--- a/src/cowslipshift/steering/limiters.py
+++ b/src/cowslipshift/steering/limiters.py
@@ -18,7 +18,9 @@
 
 from cowslipshift.coordination import hashing
 from cowslipshift.steering import admissions
+from cowslipshift.steering import demands
 from cowslipshift.steering import peerusages
+from cowslipshift.steering import usagereports
 
 if TYPE_CHECKING:
     from cowslipshift.steering import model
@@ -27,18 +29,13 @@
 """Fraction of the tolerated excess that is granted to clients; the rest covers
 admissions that hosts have not yet reported to each other."""
 
-DEMAND_WINDOW_S = 0.35
-
-GROWTH_DEMAND = 2.0
-"""Requests per second on one host below which growth of its own demand says
-little about the demand of the others."""
+AHEAD_FACTOR = 0.5
+"""Time ahead for which room is divided, in mean ages of the reports."""
 
-GROWTH_MARGIN = 1.5
-"""Growth that may be chance."""
+MAX_AHEAD_S = 1.0
 
-MAX_GROWTH = 6.0
-"""Factor by which the demand of the others is assumed to have grown at most
-since their reports."""
+UNHEARD_AGE_S = 0.35
+"""Age assumed of reports while no host has reported demand."""
 
 UNKNOWN_FRACTION = 0.1
 """Fraction of the limit below which the admissions that are known don't tell
@@ -72,20 +69,9 @@
 MAX_RETRY_AFTER_S = 2.0
 RETRY_STEP_S = 0.2
 
-REPORT_CHANGE_FRACTION = 0.02
-"""Fraction of a host's even share of the limit whose change is worth a report.
-"""
-
-DEMAND_CHANGE_FRACTION = 0.4
-"""Change of the demand, as a fraction of the reported demand, that is worth a
-report when an account nears its limit."""
-
-HEARTBEATS_PER_REPORT = 8
-"""Heartbeats after which a count is reported again, as one may have been lost.
-"""
-
-REPEATS = 2
-"""Further heartbeats that tell the count of an account without room."""
+MAX_FIRST_TOTAL = 1_000_000
+"""Bound of the number from which a host counts, so that the others notice
+when it has started again."""
 
 FILLING_FRACTION = 0.4
 """Fraction of the limit above which usage is reported without delay."""
@@ -103,7 +89,8 @@
         account: Name of the account.
         admitted: Requests admitted in the last window.
         demand: Requests per second received lately.
-        total: Requests admitted since the host started; 0 if not told.
+        total: Requests admitted since the host started, from a number that
+            differs by start; 0 if not told.
     """
 
     account: str
@@ -149,6 +136,7 @@
     Attributes:
         limit: Requests allowed in the window.
         used: Requests of the window that count against it.
+        reserved: Those of them that silent hosts may have admitted.
         unreported: Admissions of other hosts that are not reported yet.
         leaving: Those that leave the window in the time ahead.
         arriving: Requests that arrive in the time ahead.
@@ -156,6 +144,7 @@
 
     limit: float
     used: float
+    reserved: float
     unreported: float
     leaving: float
     arriving: float
@@ -183,18 +172,13 @@
         "_admitted",
         "_credit",
         "_demand",
-        "_demand_s",
         "_fraction",
         "_fraction_s",
-        "_heartbeat_demands",
-        "_heartbeats_since_report",
         "_is_filling",
         "_limit",
         "_peers",
         "_policy",
-        "_repeats",
-        "_reported",
-        "_reported_s",
+        "_reporter",
         "_started_s",
         "_total",
         "_unreported",
@@ -218,19 +202,17 @@
         self._admitted = admissions.AdmissionLedger(
             policy.window_s + WINDOW_MARGIN_S
         )
-        self._total = 0
+        start = hashing.hash_fraction(f"{host}|{account.name}|{now}")
+        self._total = 1 + int(start * MAX_FIRST_TOTAL)
         self._peers = peerusages.PeerUsages(policy.window_s + WINDOW_MARGIN_S)
-        self._demand = 0.0
-        self._demand_s = now
+        self._demand = demands.AccountDemand(now)
         self._fraction = 1.0
         self._fraction_s = now
-        self._heartbeat_demands = (0.0, 0.0)
         self._is_filling = False
         self._unreported = 0
-        self._reported = Usage(account.name, 0, 0.0)
-        self._reported_s = now
-        self._heartbeats_since_report = 0
-        self._repeats = 0
+        self._reporter = usagereports.UsageReporter(
+            Usage(account.name, 0, 0.0, self._total), policy.window_s, now
+        )
         self._limit = 0.0
         self.set_limit(account)
 
@@ -252,7 +234,7 @@
         Returns:
             0 if the request is admitted, else seconds until there is quota.
         """
-        demand = self._record_demand(now)
+        demand = self._demand.record(now)
         if self._limit > 0.0:
             if self._exceeds_joining_share(now, liveness):
                 return MIN_RETRY_AFTER_S
@@ -269,6 +251,16 @@
         self._unreported += 1
         return 0.0
 
+    def withdraw(self, admitted_s: float) -> None:
+        """Take back a request that was admitted and that no server ran.
+
+        Args:
+            admitted_s: When it was admitted.
+        """
+        self._admitted.add_span(-1.0, admitted_s, admitted_s)
+        self._total -= 1
+        self._unreported = max(0, self._unreported - 1)
+
     def _measure_room(
         self, now: float, liveness: PeerLiveness, own_demand: float
     ) -> _Room:
@@ -280,8 +272,8 @@
         others = peers.users
         if used < UNKNOWN_FRACTION * limit:
             others = liveness.hosts - len(liveness.silent) - 1
-        grown = self._estimate_demand(own_demand, peers.demand, others)
-        since_s = peers.age_s or DEMAND_WINDOW_S
+        grown = self._demand.estimate_others(own_demand, peers.demand, others)
+        since_s = peers.age_s or UNHEARD_AGE_S
         unreported = peers.unreported + (grown - peers.demand) * since_s
         demand = max(own_demand, 1.0) + grown
         ahead_s = min(MAX_AHEAD_S, AHEAD_FACTOR * since_s)
@@ -289,6 +281,7 @@
         return _Room(
             limit,
             used + peers.reserved,
+            peers.reserved,
             self._fraction * unreported,
             leaving,
             ahead_s * demand,
@@ -318,29 +311,9 @@
         for within_s in (soon_s, ahead_s):
             own = self._admitted.count_leaving(now, within_s)
             others = self._peers.count_leaving(now, within_s)
-            leaving.append(
-                (own + live_fraction * others) * ahead_s / within_s
-            )
+            leaving.append((own + live_fraction * others) * ahead_s / within_s)
         return min(leaving)
 
-    def _estimate_demand(
-        self, own: float, reported: float, others: int
-    ) -> float:
-        """Return the demand of the others, which may have grown since.
-
-        A crowd arrives at all hosts, so it grows there as it does here.
-
-        Args:
-            own: Demand on this host.
-            reported: Demand that the others reported.
-            others: Number of hosts that may receive the crowd.
-        """
-        before = self._heartbeat_demands[0]
-        usual = max(before, reported / max(1, others)) + GROWTH_DEMAND
-        factor = min(MAX_GROWTH, (GROWTH_DEMAND + own) / usual / GROWTH_MARGIN)
-        added = own - GROWTH_MARGIN * before - GROWTH_DEMAND
-        return reported + max(0.0, (factor - 1.0) * reported, added * others)
-
     def _choose_retry_after(self, now: float, room: _Room) -> float:
         """Return when a caller that returns would probably be admitted."""
         wait_s = MIN_RETRY_AFTER_S
@@ -366,7 +339,8 @@
         if elapsed_s >= JOIN_BLIND_S or liveness.hosts <= 1:
             return False
         even_rate = self._limit / self._window_s / liveness.hosts
-        return self._total >= even_rate * elapsed_s + self._credit
+        admitted = self._admitted.count(now)
+        return admitted >= even_rate * elapsed_s + self._credit
 
     @property
     def is_filling(self) -> bool:
@@ -378,61 +352,34 @@
     ) -> Usage | None:
         """Return the usage to report, if any, and start a new period.
 
-        Most heartbeats omit an account that is used as its last report lets
-        the others expect: with many hosts, the counts are most of what hosts
-        send each other.
-
         Args:
             now: Present time.
             liveness: Which hosts sent no heartbeat lately.
             is_full_report: Whether to report without a significant change.
         """
         self._unreported = 0
-        self._heartbeats_since_report += 1
-        if self._total != self._reported.total:
-            self._repeats = REPEATS
-        counted = self._admitted.count(now) + self._peers.count(now)
+        demand = self._demand.record_heartbeat(now)
+        own = self._admitted.count(now)
+        counted = own + self._peers.count(now)
         self._is_filling = counted >= FILLING_FRACTION * self._limit > 0.0
-        demand = self._measure_demand(now)
         if self._is_filling:
             room = self._measure_room(now, liveness, demand)
             self._update_fraction(now, room)
-        self._heartbeat_demands = (self._heartbeat_demands[1], demand)
-        usage = Usage(
-            self.name, round(self._admitted.count(now)), demand, self._total
+        usage = Usage(self.name, max(0, round(own)), demand, self._total)
+        is_due = self._reporter.should_report(
+            usage,
+            now,
+            self._limit / max(1, liveness.hosts),
+            self._is_filling,
+            self._fraction >= 1.0,
         )
-        is_due = (
-            is_full_report
-            or self._heartbeats_since_report >= HEARTBEATS_PER_REPORT
-        )
-        is_used = bool(usage.admitted or self._reported.admitted)
-        if not (is_due and is_used) and not self._is_significant(
-            usage, now, liveness.hosts
+        if not is_due and not (
+            is_full_report and self._reporter.is_used(usage)
         ):
             return None
-        self._reported = usage
-        self._reported_s = now
-        self._heartbeats_since_report = 0
+        self._reporter.record(usage, now)
         return usage
 
-    def _is_significant(self, usage: Usage, now: float, hosts: int) -> bool:
-        """Tell whether usage differs from what the others expect."""
-        last = self._reported
-        share = self._limit / max(1, hosts)
-        change = abs(usage.total - last.total)
-        if self._is_filling:
-            demand_change = abs(usage.demand - last.demand)
-            # A lost or late report of a full account is soon made up for.
-            if self._fraction < 1.0 and self._repeats > 0:
-                self._repeats -= 1
-                return True
-            return change >= max(
-                1.0, REPORT_CHANGE_FRACTION * share
-            ) or demand_change > 1.0 + DEMAND_CHANGE_FRACTION * last.demand
-        passed_s = now - self._reported_s
-        expected = last.admitted * passed_s / self._window_s
-        return abs(change - expected) >= 1.0
-
     def record_peer(
         self, host: str, usage: Usage, now: float, heard_s: float = -math.inf
     ) -> None:
@@ -465,18 +412,15 @@
             RESTART_FRACTION + (1.0 - RESTART_FRACTION) * elapsed_windows
         )
 
-    def measure_used(self, now: float, liveness: PeerLiveness) -> float:
-        """Return the requests of the window that count against the limit."""
-        room = self._measure_room(now, liveness, self._measure_demand(now))
-        return room.used + room.unreported
-
-    def _record_demand(self, now: float) -> float:
-        """Count a request; return the demand without it."""
-        demand = self._measure_demand(now)
-        self._demand = demand + 1.0 / DEMAND_WINDOW_S
-        self._demand_s = now
-        return demand
-
-    def _measure_demand(self, now: float) -> float:
-        passed_s = max(0.0, now - self._demand_s)
-        return self._demand * math.exp(-passed_s / DEMAND_WINDOW_S)
+    def describe(self, now: float, liveness: PeerLiveness) -> dict[str, float]:
+        """Return the values behind a decision, for the log."""
+        demand = self._demand.measure(now)
+        room = self._measure_room(now, liveness, demand)
+        return {
+            "used": room.used + room.unreported,
+            "limit": room.limit,
+            "own": self._admitted.count(now),
+            "unreported": room.unreported,
+            "reserved": room.reserved,
+            "fraction": room.compute_fraction(),
+        }
--- a/src/cowslipshift/steering/peerusages.py
+++ b/src/cowslipshift/steering/peerusages.py
@@ -104,7 +104,7 @@
             omitted = max(0.0, min(omitted, added))
             if omitted > 0.0:
                 self._admitted.add_span(omitted, last.reported_s, heard_s)
-            added = min(added - omitted, float(usage.admitted))
+            added -= omitted
         # After a long silence they may all have come late in it.
         heard_s = max(heard_s, sent_s - LATE_FRACTION * self._window_s)
         if added:
@@ -179,12 +179,18 @@
     def _count_added(
         self, last: _PeerUsage, usage: limiters.Usage, sent_s: float
     ) -> float:
-        """Return the admissions between two reports of a host."""
-        if usage.total >= last.usage.total > 0:
-            return float(usage.total - last.usage.total)
-        if usage.total > 0:
+        """Return the admissions between two reports of a host.
+
+        It is negative if admitted requests were withdrawn.
+        """
+        before = last.usage
+        if not usage.total:
+            # A host of an earlier version tells the count of its window only.
+            passed = min(1.0, (sent_s - last.reported_s) / self._window_s)
+            change = usage.admitted - before.admitted
+            return max(0.0, change + passed * before.admitted)
+        change = usage.total - before.total
+        if not before.total or change < -before.admitted:
+            # It has started again and counts from another number.
             return float(usage.admitted)
-        # A host of an earlier version tells the count of its window only.
-        passed = min(1.0, (sent_s - last.reported_s) / self._window_s)
-        change = usage.admitted - last.usage.admitted
-        return max(0.0, change + passed * last.usage.admitted)
+        return float(min(change, usage.admitted))
--- a/tests/steering/accountfleet.py
+++ b/tests/steering/accountfleet.py
@@ -133,9 +133,7 @@
         for at in self.refused:
             while end < len(self.admitted) and self.admitted[end] <= at:
                 end += 1
-            while (
-                start < end and at - self.admitted[start] >= POLICY.window_s
-            ):
+            while start < end and at - self.admitted[start] >= POLICY.window_s:
                 start += 1
             owed += end - start < quota
         return owed
