--- a/src/cowslipshift/steering/demands.py
+++ b/src/cowslipshift/steering/demands.py
@@ -6,7 +6,7 @@
 
 DEMAND_WINDOW_S = 0.35
 
-GROWTH_DEMAND = 2.0
+GROWTH_DEMAND = 6.0
 """Requests per second on one host below which growth of its own demand says
 little about the demand of the others."""
 
--- a/src/cowslipshift/steering/limiters.py
+++ b/src/cowslipshift/steering/limiters.py
@@ -25,9 +25,20 @@
 if TYPE_CHECKING:
     from cowslipshift.steering import model
 
-TOLERANCE_FRACTION = 0.3
-"""Fraction of the tolerated excess that is granted to clients; the rest covers
-admissions that hosts have not yet reported to each other."""
+TOLERANCE_FRACTION = 0.2
+"""Fraction of the tolerated excess that is always granted to clients."""
+
+KNOWN_FRACTION = 0.35
+"""Further fraction, of the tolerated overshoot without the slack, that is
+granted while all admissions are known."""
+
+UNKNOWN_WEIGHT = 0.25
+"""By how much the further fraction shrinks with each admission that is only
+estimated."""
+
+CALM_FRACTION = 0.6
+"""Fraction of the limit below which the other hosts' usage is not estimated,
+unless this host receives more than all of them could."""
 
 AHEAD_FACTOR = 0.5
 """Time ahead for which room is divided, in mean ages of the reports."""
@@ -176,6 +187,7 @@
         "_fraction_s",
         "_is_filling",
         "_limit",
+        "_overshoot",
         "_peers",
         "_policy",
         "_reporter",
@@ -213,16 +225,17 @@
         self._reporter = usagereports.UsageReporter(
             Usage(account.name, 0, 0.0, self._total), policy.window_s, now
         )
-        self._limit = 0.0
+        self._limit = self._overshoot = 0.0
         self.set_limit(account)
 
     def set_limit(self, account: model.Account) -> None:
         """Apply a new rate and burst; a rate of 0 means no limit."""
-        self._limit = 0.0
+        self._limit = self._overshoot = 0.0
         if account.rate > 0.0:
             quota = account.rate * self._window_s + account.burst
             tolerance = quota * self._policy.overshoot + self._policy.slack
             self._limit = quota + TOLERANCE_FRACTION * tolerance
+            self._overshoot = quota * self._policy.overshoot
 
     def try_admit(self, now: float, liveness: PeerLiveness) -> float:
         """Admit a request if the account has quota left.
@@ -238,14 +251,21 @@
         if self._limit > 0.0:
             if self._exceeds_joining_share(now, liveness):
                 return MIN_RETRY_AFTER_S
-            room = self._measure_room(now, liveness, demand)
-            fraction = self._update_fraction(now, room)
-            if fraction < 1.0:
-                self._credit += fraction
+            used = self._count_used(now)
+            limit = self.measure_limit(now)
+            if liveness.silent or (
+                used + demand * liveness.hosts >= CALM_FRACTION * limit
+            ):
+                room = self._measure_room(now, liveness, demand)
+                fraction = room.compute_fraction()
+                self._average_fraction(now, fraction)
+                self._credit += min(1.0, fraction)
                 if self._credit < 1.0:
                     return self._choose_retry_after(now, room)
                 self._credit -= 1.0
-            self._is_filling = room.used >= FILLING_FRACTION * room.limit
+            else:
+                self._average_fraction(now, 1.0)
+            self._is_filling = used >= FILLING_FRACTION * limit
         self._admitted.add(now)
         self._total += 1
         self._unreported += 1
@@ -268,33 +288,45 @@
         peers = self._peers.estimate(
             now, liveness, limit / max(1, liveness.hosts), self._is_filling
         )
-        used = self._admitted.count(now) + self._peers.count(now)
+        used = self._count_used(now)
         others = peers.users
         if used < UNKNOWN_FRACTION * limit:
             others = liveness.hosts - len(liveness.silent) - 1
         grown = self._demand.estimate_others(own_demand, peers.demand, others)
         since_s = peers.age_s or UNHEARD_AGE_S
-        unreported = peers.unreported + (grown - peers.demand) * since_s
-        demand = max(own_demand, 1.0) + grown
+        if liveness.hosts <= 1:
+            since_s = 0.0
+        unreported = self._fraction * (
+            peers.unreported + (grown - peers.demand) * since_s
+        )
+        unknown = unreported + peers.reserved
+        limit += max(
+            0.0, KNOWN_FRACTION * self._overshoot - UNKNOWN_WEIGHT * unknown
+        )
         ahead_s = min(MAX_AHEAD_S, AHEAD_FACTOR * since_s)
-        leaving = self._count_leaving(now, ahead_s, peers.live_fraction)
+        arriving = ahead_s * (max(own_demand, 1.0) + grown)
+        leaving = 0.0
+        if limit - used - unknown < arriving:
+            leaving = self._count_leaving(now, ahead_s, peers.live_fraction)
         return _Room(
             limit,
             used + peers.reserved,
             peers.reserved,
-            self._fraction * unreported,
+            unreported,
             leaving,
-            ahead_s * demand,
+            arriving,
         )
 
-    def _update_fraction(self, now: float, room: _Room) -> float:
-        fraction = room.compute_fraction()
+    def _count_used(self, now: float) -> float:
+        """Return the admissions in the window, as far as reported."""
+        return self._admitted.count(now) + self._peers.count(now)
+
+    def _average_fraction(self, now: float, fraction: float) -> None:
         passed_s = now - self._fraction_s
         if passed_s > 0.0:
             kept = math.exp(-passed_s / FRACTION_WINDOW_S)
             self._fraction = fraction + (self._fraction - fraction) * kept
             self._fraction_s = now
-        return fraction
 
     def _count_leaving(
         self, now: float, ahead_s: float, live_fraction: float
@@ -360,11 +392,11 @@
         self._unreported = 0
         demand = self._demand.record_heartbeat(now)
         own = self._admitted.count(now)
-        counted = own + self._peers.count(now)
-        self._is_filling = counted >= FILLING_FRACTION * self._limit > 0.0
+        used = self._count_used(now)
+        self._is_filling = used >= FILLING_FRACTION * self._limit > 0.0
         if self._is_filling:
             room = self._measure_room(now, liveness, demand)
-            self._update_fraction(now, room)
+            self._average_fraction(now, room.compute_fraction())
         usage = Usage(self.name, max(0, round(own)), demand, self._total)
         is_due = self._reporter.should_report(
             usage,
