Admit the urgent first, and tell refused callers when to return

Cause: nothing used a request's priority to decide who gets room; with too little of it, queues grew until all answers were late, and refused callers were told times that had nothing to do with room. Change: admission/urgency, where priorities differ and heartbeats are relayed: refused shares by rank that change in small steps with the queues that hosts tell each other, an order of return that all hosts know, and promises within this host's part of the room.

--- a/src/cowslipshift/edge/attempts.py
+++ b/src/cowslipshift/edge/attempts.py
@@ -119,6 +119,7 @@
         """
         while True:
             choice = self._choose()
+            self._count_admission(choice)
             if isinstance(choice, calls.Refusal):
                 return self._conclude_unanswered(choice)
             answer = await self._attempt(choice)
@@ -142,6 +143,17 @@
             return calls.Refusal("unreachable", 0.2)
         return self._deps.balancer.choose_backend(call, now)
 
+    def _count_admission(self, choice: calls.Choice | calls.Refusal) -> None:
+        """Count what became of a request that was not sent anywhere yet."""
+        call = self._call
+        if call.tried:
+            return
+        if isinstance(choice, calls.Choice):
+            outcome = "returned" if call.has_returned else "admitted"
+        else:
+            outcome = "promised" if choice.is_promised else "refused"
+        self._deps.metrics.count_admission(call.priority, outcome)
+
     def _conclude_unanswered(self, refusal: calls.Refusal) -> web.Response:
         if self._last_answered is not None:
             return self._pass_on(*self._last_answered)
@@ -154,6 +166,8 @@
             rank=self._call.priority,
             service=self._call.service,
             tried=len(self._call.tried),
+            share=self._call.share,
+            promised=refusal.is_promised,
             **describe_choice(refusal.best, self._deps.clock.now()),
         )
 
@@ -278,6 +292,8 @@
             took_ms=answer.took_s * 1000,
             target_ms=call.route.target_s * 1000,
             attempts=self._sent,
+            share=call.share,
+            returned=call.has_returned,
             config=deps.balancer.version,
             **describe_choice(choice, now),
         )
--- a/src/cowslipshift/edge/handler.py
+++ b/src/cowslipshift/edge/handler.py
@@ -155,6 +155,8 @@
             until_s,
             received.arrived_s,
         )
+        call.gives_up_s = received.arrived_s + deadline_s
+        call.unix_offset_s = self._clock.wall() - self._clock.now()
         request_attempts = attempts.Attempts(
             self._deps, request, request_headers, call, body
         )
--- a/src/cowslipshift/edge/metrics.py
+++ b/src/cowslipshift/edge/metrics.py
@@ -33,6 +33,7 @@
             for name, doc in (
                 ("cowslipshift_answers_total", "Answers of backend servers."),
                 ("cowslipshift_refusals_total", "Answers of the system."),
+                ("cowslipshift_admissions_total", "Requests by admission."),
                 ("cowslipshift_failures_total", "Failed attempts."),
                 ("cowslipshift_lookups_total", "Look-ups."),
                 ("cowslipshift_store_calls_total", "Calls of the store."),
@@ -95,6 +96,20 @@
             rank=priority,
         )
 
+    def count_admission(self, priority: int, outcome: str) -> None:
+        """Count whether a request got room at first.
+
+        Args:
+            priority: Priority of the request.
+            outcome: ``admitted``, ``returned`` for one that had been promised
+                room, ``promised`` or ``refused``.
+        """
+        self._add(
+            "cowslipshift_admissions_total",
+            rank=str(priority),
+            outcome=outcome,
+        )
+
     def count_failure(self, code: str) -> None:
         """Count an attempt that got no valid answer."""
         self._add("cowslipshift_failures_total", code=code)
--- a/src/cowslipshift/steering/balancer.py
+++ b/src/cowslipshift/steering/balancer.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from cowslipshift.admission import deadlines
+from cowslipshift.admission import urgency
 from cowslipshift.coordination import hashing
 from cowslipshift.steering import backends
 from cowslipshift.steering import calls
@@ -93,7 +94,10 @@
         self._latencies = prediction.LatencyEstimator(self.round_trips)
         self._estimator: steps.CompletionEstimator = self._latencies
         self._selector: steps.ServerSelector = preference.CostPreference()
-        self._admission: steps.AdmissionPolicy = deadlines.DeadlineAdmission()
+        self._urgency = urgency.UrgencyAdmission(
+            deadlines.DeadlineAdmission(), membership, self.inventory
+        )
+        self._admission: steps.AdmissionPolicy = self._urgency
 
     @property
     def version(self) -> int:
@@ -151,6 +155,7 @@
             ):
                 self._splitters[key] = splits.Splitter(route.weighted_services)
         self._latencies.set_routes(self._routes.list_routes())
+        self._urgency.set_configuration(configuration)
         self.accounts.apply(configuration.accounts.values(), now)
         return True
 
--- a/src/cowslipshift/steering/calls.py
+++ b/src/cowslipshift/steering/calls.py
@@ -42,11 +42,13 @@
         retry_after_s: Time after which there will be capacity, as far as
             is known.
         best: The best of the servers that were compared, if any.
+        is_promised: Whether the caller has a place at that time.
     """
 
     reason: str
     retry_after_s: float
     best: Choice | None = None
+    is_promised: bool = False
 
 
 class Call(msgspec.Struct):
@@ -59,6 +61,12 @@
         regions: Regions that may serve it; ``None`` for all.
         uses_new_version: Whether the new version of a roll-out is to run it.
         tried: Backend servers to which an attempt was made.
+        gives_up_s: Monotonic time until which the caller waits, with its
+            repeats; the route may allow less for one request.
+        unix_offset_s: Unix time less monotonic time of this host.
+        share: Share of the requests of its rank that its server admits.
+        has_returned: Whether it took the place that an earlier refusal
+            promised to its caller.
     """
 
     id: str
@@ -71,6 +79,10 @@
     regions: frozenset[str] | None
     uses_new_version: bool
     tried: set[str]
+    gives_up_s: float = 0.0
+    unix_offset_s: float = 0.0
+    share: float = 1.0
+    has_returned: bool = False
 
     @property
     def priority(self) -> int:
