Refuse a request whose time is over before it has a connection

Cause: the limit of a request's own time, met while its connection was being opened or awaited, was taken for an answer that is lost: 504, after which nobody may repeat an order, though no byte had left. Change: requests know whether they have a connection; without one they were not sent, and the refusal is a 503. Such a server is not held to be down.

--- a/src/cowslipshift/edge/attempts.py
+++ b/src/cowslipshift/edge/attempts.py
@@ -204,8 +204,11 @@
             )
         except exceptions.NotSentError as error:
             self._connect_failures += 1
-            self._record_failure(choice, error, is_down=True)
-            deps.balancer.record_gone_server(call, choice, deps.clock.now())
+            self._record_failure(choice, error, is_down=not error.is_late)
+            if not error.is_late:
+                deps.balancer.record_gone_server(
+                    call, choice, deps.clock.now()
+                )
             return None
         except exceptions.AnswerLostError as error:
             self._sent += 1
--- a/src/cowslipshift/edge/exceptions.py
+++ b/src/cowslipshift/edge/exceptions.py
@@ -6,10 +6,19 @@
 
 
 class NotSentError(exceptions.CowslipshiftError):
-    """No byte of a request was sent; it certainly did not run."""
+    """No byte of a request was sent; it certainly did not run.
+
+    Attributes:
+        is_late: Whether the request's own time was over before the server
+            had time to accept a connection.
+    """
 
     code = "backend_unreachable"
 
+    def __init__(self, message: str, is_late: bool = False) -> None:
+        super().__init__(message)
+        self.is_late = is_late
+
 
 class AnswerLostError(exceptions.CowslipshiftError):
     """A request was sent but got no valid answer; it may have run.
--- a/src/cowslipshift/edge/upstream.py
+++ b/src/cowslipshift/edge/upstream.py
@@ -48,6 +48,19 @@
     took_s: float = 0.0
 
 
+class _Sending(msgspec.Struct):
+    """A request that is being sent.
+
+    Attributes:
+        address: Server that it is sent to.
+        has_connection: Whether it has a connection; before that, no byte of
+            it can have been sent.
+    """
+
+    address: str
+    has_connection: bool = False
+
+
 class _Connection(connections.GuardedConnection):
     """A connection that reports resets and limits what arrives.
 
@@ -147,11 +160,18 @@
     async def note_end(
         session: aiohttp.ClientSession, context: Any, params: object
     ) -> None:
-        request = context.trace_request_ctx
-        on_connect(request, loop.time() - context.connecting_since_s)
+        sending = context.trace_request_ctx
+        sending.has_connection = True
+        on_connect(sending.address, loop.time() - context.connecting_since_s)
+
+    async def note_reuse(
+        session: aiohttp.ClientSession, context: Any, params: object
+    ) -> None:
+        context.trace_request_ctx.has_connection = True
 
     trace.on_connection_create_start.append(note_start)
     trace.on_connection_create_end.append(note_end)
+    trace.on_connection_reuseconn.append(note_reuse)
     session = aiohttp.ClientSession(
         connector=connections.GuardedConnector(
             functools.partial(_Connection, idlelimits.IdleLimits()),
@@ -214,6 +234,7 @@
             AnswerLostError: The request may have run.
         """
         url = yarl.URL(f"http://{address}{target}", encoded=True)
+        sending = _Sending(address)
         try:
             async with asyncio.timeout(timeout_s):
                 async with self._session.request(
@@ -222,7 +243,7 @@
                     headers=headers,
                     data=body,
                     allow_redirects=False,
-                    trace_request_ctx=address,
+                    trace_request_ctx=sending,
                 ) as response:
                     if not is_own(response.headers):
                         response.close()
@@ -238,6 +259,10 @@
         ) as error:
             raise exceptions.NotSentError(repr(error)) from error
         except TimeoutError as error:
+            if not sending.has_connection:
+                raise exceptions.NotSentError(
+                    "no connection in the request's time", is_late=True
+                ) from error
             raise exceptions.AnswerLostError(
                 "no answer in time", True
             ) from error
--- a/tests/edge/test_upstream.py
+++ b/tests/edge/test_upstream.py
@@ -1,9 +1,10 @@
-"""Answers of backend servers that do not end."""
+"""Answers that do not end, and connections that are not accepted."""
 
 from __future__ import annotations
 
 import asyncio
 import contextlib
+import socket
 
 import pytest
 
@@ -125,3 +126,45 @@
     assert client._budget.used_bytes == 0
     await client.close()
     server.close()
+
+
+@contextlib.asynccontextmanager
+async def open_full_socket():
+    """Listen at an address at which no connection is accepted any more."""
+    loop = asyncio.get_running_loop()
+    with contextlib.ExitStack() as opened:
+        listener = opened.enter_context(socket.socket())
+        listener.bind(("127.0.0.1", 0))
+        listener.listen(0)
+        address = listener.getsockname()
+        while True:
+            filler = opened.enter_context(socket.socket())
+            filler.setblocking(False)
+            try:
+                async with asyncio.timeout(upstream.CONNECT_TIMEOUT_S):
+                    await loop.sock_connect(filler, address)
+            except TimeoutError:
+                break
+        yield f"{address[0]}:{address[1]}"
+
+
+# Guards against 504 for a request of which nobody got a byte, which keeps a
+# caller from repeating its order.
+@pytest.mark.parametrize("timeout_s", [0.1, DEADLINE_S])
+async def test_request_without_a_connection_was_not_sent(
+    timeout_s: float,
+) -> None:
+    client = upstream.UpstreamClient()
+    async with open_full_socket() as address:
+        with pytest.raises(exceptions.NotSentError) as raised:
+            await client.send(
+                address,
+                "POST",
+                "/",
+                [("Host", "x")],
+                b"order",
+                timeout_s,
+                lambda headers: True,
+            )
+    assert raised.value.is_late == (timeout_s < upstream.CONNECT_TIMEOUT_S)
+    await client.close()
