--- a/src/cowslipshift/admission/ranks.py
+++ b/src/cowslipshift/admission/ranks.py
@@ -20,9 +20,12 @@
 """How long after its last request a rank still counts as present."""
 
 SLACK_EWMA_WEIGHT = 0.2
-MIN_SLACK_TARGETS = 0.25
-"""Least slack, in target latencies, of a request that is late without any
-queue: refusing it does not make it faster."""
+MIN_SLACK_TARGETS = 0.1
+"""Requests with less slack, in target latencies, are late without a queue as
+well, so they say nothing about the queue that their rank can bear."""
+
+USUAL_SLACK_TARGETS = 0.4
+"""Slack assumed of a rank at first."""
 
 MAX_VISITOR_FRACTION = 0.5
 """Fraction of a service's requests up to which urgent ones of a route that
@@ -53,9 +56,11 @@
     admitted_fraction: float = 1.0
 
     @property
-    def bearable_queue_s(self) -> float:
-        """Queueing time that is left to its rank; less to less urgent ones."""
-        return self.slack_s * (1.0 - self.position / self.ranks)
+    def precedence(self) -> float:
+        """1 for the most urgent of several ranks, 0 for the least."""
+        if self.ranks == 1:
+            return 0.5
+        return 1.0 - self.position / (self.ranks - 1)
 
 
 class _Demand(msgspec.Struct):
@@ -117,16 +122,15 @@
         """Record a request and return its standing."""
         target_s = call.route.target_s
         unqueued_s = choice.expected_s - choice.queue_s
-        slack_s = max(
-            MIN_SLACK_TARGETS * target_s,
-            call.arrived_s + target_s - now - unqueued_s,
-        )
+        slack_s = call.arrived_s + target_s - now - unqueued_s
         demands = self._demands.setdefault(call.service, {})
         rank = rank_call(call)
         demand = demands.get(rank)
         if demand is None:
+            slack_s = max(slack_s, USUAL_SLACK_TARGETS * target_s)
             demands[rank] = demand = _Demand(slack_s, now)
-        demand.slack_s += SLACK_EWMA_WEIGHT * (slack_s - demand.slack_s)
+        if slack_s >= MIN_SLACK_TARGETS * target_s:
+            demand.slack_s += SLACK_EWMA_WEIGHT * (slack_s - demand.slack_s)
         demand.seen_s = now
         for other in [
             other
@@ -136,8 +140,8 @@
             del demands[other]
         counts = self._count(call, now)
         counts.asked += 1.0
-        ahead = [d.slack_s for r, d in demands.items() if r < rank]
-        position = len(ahead)
+        slacks_s = [d.slack_s for r, d in demands.items() if r <= rank]
+        position = len(slacks_s) - 1
         if (
             self._is_visitor(call)
             and counts.visitors > MAX_VISITOR_FRACTION * counts.admitted
@@ -146,7 +150,7 @@
         return Standing(
             position,
             len(demands),
-            min([slack_s, *ahead]),
+            min(slacks_s),
             (counts.admitted + PRIOR_REQUESTS)
             / (counts.asked + PRIOR_REQUESTS),
         )
--- a/src/cowslipshift/admission/urgency.py
+++ b/src/cowslipshift/admission/urgency.py
@@ -18,18 +18,20 @@
     from cowslipshift.steering import model
     from cowslipshift.steering import steps
 
-AIM_FRACTION = 0.5
-"""Mean queueing time that a rank is to find at a service, as a fraction of
-what it can bear."""
+LEAST_URGENT_AIM = 0.4
+AIM_RANGE = 0.2
+"""Mean queueing time that a rank is to find at a service, as a fraction of the
+slack: the least urgent one, and how much more the most urgent one. What it
+finds beyond is refused to it, so the less urgent ones are refused first."""
 
 FREE_BELOW = 0.5
 """Busy fraction of a server below which it refuses nobody. Many hosts see a
 slot come free at the same time."""
 
-EXCESS_START = 0.6
-EXCESS_GAIN = 0.5
-"""Queueing time of the chosen server, as a fraction of what the rank can bear,
-above which more is refused there, and how much more by fraction."""
+EXCESS_START = 1.6
+EXCESS_GAIN = 0.25
+"""Queueing time of the chosen server, as a multiple of that, above which more
+is refused there, and how much more by multiple."""
 
 FLOOR = 0.35
 MIN_SHARE = 0.05
@@ -145,12 +147,14 @@
         room = self._measure_room(call.service, now)
         unqueued_s = choice.expected_s - choice.queue_s
         mean_queue_s = room.excess / max(1, room.slots) * unqueued_s
-        bearable_s = standing.bearable_queue_s
+        aim_s = standing.slack_s * (
+            LEAST_URGENT_AIM + AIM_RANGE * standing.precedence
+        )
         most = 1.0 - max(MIN_SHARE, FLOOR * standing.admitted_fraction)
         refused = self._restraint.update(
             call.service,
             standing.position,
-            mean_queue_s / (AIM_FRACTION * bearable_s),
+            mean_queue_s / aim_s,
             most,
             now,
         )
@@ -159,7 +163,7 @@
             return 1.0 - refused * max(
                 0.0, min(1.0, (busy - FREE_BELOW) / (1.0 - FREE_BELOW))
             )
-        excess = choice.queue_s / bearable_s - EXCESS_START
+        excess = choice.queue_s / aim_s - EXCESS_START
         refused += EXCESS_GAIN * max(0.0, excess)
         return 1.0 - min(most, refused)
 
--- a/tests/edge/test_metrics.py
+++ b/tests/edge/test_metrics.py
@@ -29,3 +29,17 @@
         if line.startswith("cowslipshift_request_seconds_count")
     ]
     assert len(observed) == 2
+
+
+def test_admissions_are_counted_by_rank() -> None:
+    metrics = metric.EdgeMetrics("h1")
+    for outcome in ("admitted", "refused", "admitted"):
+        metrics.count_admission(2, outcome)
+    lines = metrics.render()[0].decode().splitlines()
+    counts = {
+        line.rpartition(" ")[2]
+        for line in lines
+        if line.startswith("cowslipshift_admissions_total{")
+        and 'rank="2"' in line
+    }
+    assert counts == {"1", "2"}
