Choose servers by the work that requests cause

Cause: load was spread by the number of requests known seconds ago, in regions that are full at the same time; the load known between reports was a quarter too low, and one long answer made a server look slow.

Change: the pace that servers state, a cost model by route, object, account, method and size, the work in hand, and an order of servers that ignores the region after the first one. Only where heartbeats are relayed or servers state a pace. The emulator gets routes, a tail, a noisy pace and load reports, and the ways of choosing are compared in it.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from bench import answers
+from bench import balancing
 from bench import fairness
 from bench import logging
 from bench import lookups
@@ -63,6 +64,29 @@
         peers, ways = (peer,) if peer else (), (way,) if way else ()
         _report("answers", answers.measure(count, peers, ways), save)
 
+    def balancing(
+        self,
+        seeds: int = 3,
+        seconds: float = 30.0,
+        hosts: int = 0,
+        policy: str = "",
+        save: bool = False,
+    ) -> None:
+        """Ways of choosing a server under uneven work, emulated.
+
+        Args:
+            seeds: Number of seeds for each way.
+            seconds: Simulated time of each run.
+            hosts: The only number of hosts.
+            policy: The only way.
+            save: Keep the result in docs/measurements.
+        """
+        _report(
+            "balancing",
+            balancing.measure(seeds, seconds, hosts, policy),
+            save,
+        )
+
     def lookups(
         self, seconds: float = 5.0, connections: int = 8, save: bool = False
     ) -> None:
--- /dev/null
+++ b/bench/emulatedfleet.py
@@ -0,0 +1,184 @@
+"""Hosts, servers and routes of an emulated deployment."""
+
+from __future__ import annotations
+
+import collections
+import random
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from cowslipshift.steering import accounts
+from cowslipshift.steering import balancer as balancers
+from cowslipshift.steering import changes
+from cowslipshift.steering import limiters
+from cowslipshift.steering import membership as memberships
+from cowslipshift.steering import model
+
+if TYPE_CHECKING:
+    from bench import emulator
+
+SERVICE = "sheets"
+
+
+class Kind(msgspec.Struct, frozen=True):
+    """Requests of one route.
+
+    Attributes:
+        share: Share of all requests.
+        objects: Distinct objects of each region.
+        service_s: Service time of a request for a cold object.
+        target_s: Target latency; an answer within it earns full credit.
+        timeout_s: Timeout; an answer after it earns no credit.
+        priority: Priority; 0 is the highest.
+        is_idempotent: Whether a request may run more than once.
+    """
+
+    name: str
+    share: float
+    objects: int
+    service_s: float
+    target_s: float
+    timeout_s: float
+    priority: int = 1
+    is_idempotent: bool = True
+
+
+class Noise(msgspec.Struct, frozen=True):
+    """Pace of servers that share their machines.
+
+    Attributes:
+        share: Part of the time in which a server is slow.
+        factor: How many times longer work takes then.
+        period_s: Time after which its pace is drawn again.
+    """
+
+    share: float
+    factor: float
+    period_s: float
+
+
+class Server:
+    """Queue, warm objects and pace of one emulated backend server.
+
+    Args:
+        identity: Its id.
+        region: Its region.
+        noise: How its pace changes, if it does.
+        seed: Seed of its pace.
+    """
+
+    def __init__(
+        self, identity: str, region: str, noise: Noise | None, seed: int
+    ) -> None:
+        self.region = region
+        self.in_flight = 0
+        self.busy_s = 0.0
+        self.waiting: collections.deque[emulator.Attempt] = collections.deque()
+        self.warm_objects: collections.OrderedDict[tuple[str, str], None] = (
+            collections.OrderedDict()
+        )
+        self._noise = noise
+        self._seed = f"{seed}|{identity}"
+        self._offset = random.Random(self._seed).random()
+        self._period = -1
+        self._pace = 1.0
+
+    def measure_pace(self, now: float) -> float:
+        """Return the factor by which work takes longer."""
+        if self._noise is None:
+            return 1.0
+        period = int(now / self._noise.period_s + self._offset)
+        if period != self._period:
+            self._period = period
+            draw = random.Random(f"{self._seed}|{period}").random()
+            is_slow = draw < self._noise.share
+            self._pace = self._noise.factor if is_slow else 1.0
+        return self._pace
+
+
+def build_hosts(
+    deployment: emulator.Deployment,
+) -> dict[str, list[balancers.Balancer]]:
+    """Return the balancers of all hosts by region."""
+    routes = tuple(_build_route(kind) for kind in deployment.list_kinds())
+    configuration = model.Configuration(
+        version=1,
+        routes=routes,
+        services={SERVICE: model.Service(SERVICE, 300, 3.0, 4.5)},
+        accounts={},
+        accounts_by_key={},
+        limits=model.Limits(),
+    )
+    regions_by_centre = {f"{r}-a": r for r in deployment.backends}
+    entries = [
+        model.Backend(
+            id=identity,
+            service=SERVICE,
+            address="",
+            data_centre=f"{region}-a",
+            version="v1",
+            slots=deployment.slots,
+            is_draining=False,
+            cold_s=0.0,
+            started_ms=1,
+        )
+        for identity, region in list_servers(deployment)
+    ]
+    members = [
+        model.Member(
+            name=f"{region}-host-{number}",
+            data_centre=f"{region}-a",
+            region=region,
+            public_address="",
+            internal_address="",
+            heartbeat_address="",
+            incarnation=1,
+        )
+        for region, count in deployment.hosts.items()
+        for number in range(count)
+    ]
+    policy = limiters.QuotaPolicy(5.0)
+    hosts: dict[str, list[balancers.Balancer]] = {}
+    for own in members:
+        membership = memberships.Membership(own)
+        for member in members:
+            membership.set_member(member.name, member, 0.0)
+        balancer = balancers.Balancer(
+            membership,
+            regions_by_centre,
+            0.2,
+            60.0,
+            10.0,
+            accounts.AccountLimiters(policy, False, 0.0),
+        )
+        balancer.apply(changes.ConfigurationChange(configuration), 0.0)
+        for entry in entries:
+            balancer.apply(changes.BackendChange(entry.id, entry), 0.0)
+        hosts.setdefault(own.region, []).append(balancer)
+    return hosts
+
+
+def list_servers(deployment: emulator.Deployment) -> list[tuple[str, str]]:
+    """Return id and region of each server."""
+    return [
+        (f"{region}-{number}", region)
+        for region, count in deployment.backends.items()
+        for number in range(count)
+    ]
+
+
+def _build_route(kind: Kind) -> model.Route:
+    return model.Route(
+        name=kind.name,
+        hostname="h",
+        prefix=f"/{kind.name}",
+        weighted_services=(model.WeightedService(SERVICE, 1.0),),
+        is_idempotent=kind.is_idempotent,
+        timeout_s=kind.timeout_s,
+        target_s=kind.target_s,
+        attempts=2,
+        priority=kind.priority,
+        is_public=True,
+        has_affinity=True,
+    )
--- a/bench/emulator.py
+++ b/bench/emulator.py
@@ -10,23 +10,22 @@
 import collections
 import heapq
 import itertools
+import math
 import random
+import statistics
 from typing import TYPE_CHECKING
 
 import msgspec
 
-from cowslipshift.steering import accounts
-from cowslipshift.steering import balancer as balancers
+from bench import emulatedfleet
 from cowslipshift.steering import calls
-from cowslipshift.steering import changes
-from cowslipshift.steering import limiters
-from cowslipshift.steering import membership as memberships
-from cowslipshift.steering import model
+from cowslipshift.workload import reports
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-SERVICE = "sheets"
+    from cowslipshift.steering import balancer as balancers
+
 REGION_LATENCY_S = 0.012
 """One-way latency between regions."""
 
@@ -51,6 +50,13 @@
         timeout_s: Timeout; an answer after it earns no credit.
         slow_server: Name of a server that takes five times as long, with the
             start and end of that period in seconds, or ``None``.
+        kinds: Requests by route; one route of the figures above if empty.
+        tail_share: Share of the requests whose work has a long tail.
+        tail_factor: How many times the work of others it is.
+        noise: How the pace of the servers changes, if it does.
+        is_pace_stated: Whether the servers state their pace.
+        heartbeat_s: Interval at which hosts tell each other loads, and time
+            that this takes; 0 if they do not.
     """
 
     backends: dict[str, int]
@@ -65,6 +71,25 @@
     target_s: float = 0.4
     timeout_s: float = 1.0
     slow_server: tuple[str, float, float] | None = None
+    kinds: tuple[emulatedfleet.Kind, ...] = ()
+    tail_share: float = 0.0
+    tail_factor: float = 7.0
+    noise: emulatedfleet.Noise | None = None
+    is_pace_stated: bool = False
+    heartbeat_s: float = 0.0
+
+    def list_kinds(self) -> tuple[emulatedfleet.Kind, ...]:
+        """Return the kinds of requests."""
+        return self.kinds or (
+            emulatedfleet.Kind(
+                "read",
+                1.0,
+                self.objects,
+                self.service_s,
+                self.target_s,
+                self.timeout_s,
+            ),
+        )
 
 
 UNEVEN = Deployment(
@@ -83,6 +108,12 @@
         first_s: Fraction within target latency of those in the first four
             seconds.
         worst_region: Fraction within target latency in the worst region.
+        shed: Fraction of attempts that found a full queue.
+        mean_s: Mean time of requests; one without an answer counts as long
+            as its timeout.
+        p99_s: The 99th percentile of that.
+        busiest: Work of the busiest server over the mean.
+        cost_error: Mean logarithmic error of the predicted work.
     """
 
     requests: int = 0
@@ -94,9 +125,20 @@
     across: float = 0.0
     first_s: float = 0.0
     worst_region: float = 0.0
+    shed: float = 0.0
+    mean_s: float = 0.0
+    p99_s: float = 0.0
+    busiest: float = 0.0
+    cost_error: float = 0.0
+
 
+class Attempt(msgspec.Struct, eq=False):
+    """An attempt under way.
+
+    Attributes:
+        work_s: Its true work at the usual pace.
+    """
 
-class _Attempt(msgspec.Struct, eq=False):
     call: calls.Call
     choice: calls.Choice
     balancer: balancers.Balancer
@@ -105,16 +147,7 @@
     sent_s: float
     attempt_number: int = 1
     is_finished: bool = False
-
-
-class _Server:
-    def __init__(self, region: str, deployment: Deployment) -> None:
-        self.region = region
-        self.in_flight = 0
-        self.waiting: collections.deque[_Attempt] = collections.deque()
-        self.warm_objects: collections.OrderedDict[str, None] = (
-            collections.OrderedDict()
-        )
+    work_s: float = 0.0
 
 
 class Emulator:
@@ -123,6 +156,9 @@
     Args:
         deployment: The deployment and its load.
         seed: Seed of all random draws.
+
+    Attributes:
+        hosts: Balancers of the hosts by region.
     """
 
     def __init__(self, deployment: Deployment, seed: int) -> None:
@@ -131,11 +167,18 @@
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._sequence = itertools.count()
         self._now = 0.0
-        self._servers: dict[str, _Server] = {}
         self._regions = list(deployment.backends)
-        self._hosts: dict[str, list[balancers.Balancer]] = {}
+        self._servers = {
+            identity: emulatedfleet.Server(
+                identity, region, deployment.noise, seed
+            )
+            for identity, region in emulatedfleet.list_servers(deployment)
+        }
+        self.hosts = emulatedfleet.build_hosts(deployment)
+        self._kinds = {kind.name: kind for kind in deployment.list_kinds()}
         self._counts: collections.Counter[str] = collections.Counter()
-        self._build()
+        self._times_s: list[float] = []
+        self._cost_errors: list[float] = []
 
     def run(self, length_s: float) -> Result:
         """Emulate clients for ``length_s`` seconds and return the outcomes."""
@@ -146,92 +189,43 @@
             )
         for step in range(int(length_s * 10)):
             self._schedule(step / 10, self._refill)
+        heartbeat_s = self._deployment.heartbeat_s
+        if heartbeat_s > 0.0:
+            for step in range(1, int(length_s / heartbeat_s)):
+                self._schedule(step * heartbeat_s, self._send_heartbeats)
         while self._events:
             self._now, _, action = heapq.heappop(self._events)
             action()
         return self._sum_up()
 
-    def _build(self) -> None:
-        deployment = self._deployment
-        route = model.Route(
-            name="read",
-            hostname="h",
-            prefix="/",
-            weighted_services=(model.WeightedService(SERVICE, 1.0),),
-            is_idempotent=True,
-            timeout_s=deployment.timeout_s,
-            target_s=deployment.target_s,
-            attempts=2,
-            priority=1,
-            is_public=True,
-            has_affinity=True,
-        )
-        configuration = model.Configuration(
-            version=1,
-            routes=(route,),
-            services={SERVICE: model.Service(SERVICE, 300, 3.0, 4.5)},
-            accounts={},
-            accounts_by_key={},
-            limits=model.Limits(),
-        )
-        regions_by_centre = {f"{region}-a": region for region in self._regions}
-        entries = []
-        for region, count in deployment.backends.items():
-            for number in range(count):
-                identity = f"{region}-{number}"
-                self._servers[identity] = _Server(region, deployment)
-                entries.append(
-                    model.Backend(
-                        id=identity,
-                        service=SERVICE,
-                        address="",
-                        data_centre=f"{region}-a",
-                        version="v1",
-                        slots=deployment.slots,
-                        is_draining=False,
-                        cold_s=0.0,
-                        started_ms=1,
-                    )
-                )
-        members = [
-            model.Member(
-                name=f"{region}-host-{number}",
-                data_centre=f"{region}-a",
-                region=region,
-                public_address="",
-                internal_address="",
-                heartbeat_address="",
-                incarnation=1,
-            )
-            for region, count in deployment.hosts.items()
-            for number in range(count)
-        ]
-        policy = limiters.QuotaPolicy(5.0)
-        for own in members:
-            membership = memberships.Membership(own)
-            for member in members:
-                membership.set_member(member.name, member, 0.0)
-            balancer = balancers.Balancer(
-                membership,
-                regions_by_centre,
-                0.2,
-                60.0,
-                10.0,
-                accounts.AccountLimiters(policy, False, 0.0),
-            )
-            balancer.apply(changes.ConfigurationChange(configuration), 0.0)
-            for entry in entries:
-                balancer.apply(changes.BackendChange(entry.id, entry), 0.0)
-            self._hosts.setdefault(own.region, []).append(balancer)
-
     def _schedule(self, when: float, action: Callable[[], None]) -> None:
         heapq.heappush(self._events, (when, next(self._sequence), action))
 
     def _refill(self) -> None:
-        for listed in self._hosts.values():
+        for listed in self.hosts.values():
             for balancer in listed:
                 balancer.refill_budgets(0.1)
 
+    def _send_heartbeats(self) -> None:
+        sent_s = self._now
+        balancers = [b for listed in self.hosts.values() for b in listed]
+        sent = [b.load_exchange.list_reports(sent_s) for b in balancers]
+
+        def deliver() -> None:
+            for receiver, balancer in enumerate(balancers):
+                for sender, listed in enumerate(sent):
+                    if listed and receiver != sender:
+                        balancer.load_exchange.record_reports(listed, sent_s)
+
+        self._schedule(sent_s + self._deployment.heartbeat_s, deliver)
+
+    def _choose_kind(self) -> emulatedfleet.Kind:
+        kinds = list(self._kinds.values())
+        if len(kinds) == 1:
+            return kinds[0]
+        shares = [kind.share for kind in kinds]
+        return self._random.choices(kinds, shares)[0]
+
     def _send_requests(self, region: str, length_s: float) -> None:
         if self._now >= length_s:
             return
@@ -244,19 +238,22 @@
             self._now + self._random.expovariate(rate),
             lambda: self._send_requests(region, length_s),
         )
-        balancer = self._random.choice(self._hosts[region])
+        balancer = self._random.choice(self.hosts[region])
         assert balancer.configuration is not None
-        route = balancer.configuration.routes[0]
-        affinity_key = (
-            f"{region}-{self._random.randrange(self._deployment.objects)}"
+        kind = self._choose_kind()
+        route = next(
+            listed
+            for listed in balancer.configuration.routes
+            if listed.name == kind.name
         )
+        affinity_key = f"{region}-{self._random.randrange(kind.objects)}"
         number = next(self._sequence)
         call = balancer.open_call(
             str(number),
             route,
             None,
             affinity_key,
-            self._now + self._deployment.timeout_s,
+            self._now + kind.timeout_s,
             self._now,
         )
         self._count("requests", region)
@@ -272,12 +269,12 @@
     ) -> None:
         choice = balancer.choose_backend(call, self._now)
         if isinstance(choice, calls.Refusal):
-            self._count("refused", region)
+            self._refuse(call, region)
             return
         if attempt_number > 1 and not balancer.try_retry(call.service):
-            self._count("refused", region)
+            self._refuse(call, region)
             return
-        attempt = _Attempt(
+        attempt = Attempt(
             call,
             choice,
             balancer,
@@ -287,7 +284,7 @@
             attempt_number,
         )
         server = self._servers[choice.state.entry.id]
-        choice.state.in_flight += 1
+        balancer.record_sent(call, choice, self._now)
         call.tried.add(choice.state.entry.id)
         self._counts["attempts"] += 1
         self._counts["across"] += server.region != region
@@ -297,13 +294,16 @@
         )
         self._schedule(call.deadline_s, lambda: self._give_up(attempt, server))
 
-    def _arrive(self, attempt: _Attempt, server: _Server) -> None:
+    def _arrive(self, attempt: Attempt, server: emulatedfleet.Server) -> None:
         if server.in_flight < self._deployment.slots:
             self._start(attempt, server)
         elif len(server.waiting) < self._deployment.queue:
             server.waiting.append(attempt)
         else:
-            self._end(attempt, server)
+            self._end(attempt)
+            self._counts["shed"] += 1
+            if not attempt.call.route.is_idempotent:
+                self._counts["shed orders"] += 1
             self._send(
                 attempt.call,
                 attempt.balancer,
@@ -312,29 +312,39 @@
                 attempt.attempt_number + 1,
             )
 
-    def _start(self, attempt: _Attempt, server: _Server) -> None:
+    def _start(self, attempt: Attempt, server: emulatedfleet.Server) -> None:
         server.in_flight += 1
-        affinity_key = attempt.call.affinity_key
-        service_s = self._deployment.service_s * self._random.lognormvariate(
+        deployment = self._deployment
+        route = attempt.call.route.name
+        service_s = self._kinds[route].service_s * self._random.lognormvariate(
             0.0, 0.15
         )
-        if affinity_key in server.warm_objects:
-            service_s *= self._deployment.warm_factor
+        if (
+            deployment.tail_share > 0.0
+            and self._random.random() < deployment.tail_share
+        ):
+            service_s *= deployment.tail_factor
+        key = route, attempt.call.affinity_key
+        if key in server.warm_objects:
+            service_s *= deployment.warm_factor
             self._counts["warm"] += 1
-        server.warm_objects[affinity_key] = None
-        server.warm_objects.move_to_end(affinity_key)
-        if len(server.warm_objects) > self._deployment.warm_objects:
+        attempt.work_s = service_s
+        server.warm_objects[key] = None
+        server.warm_objects.move_to_end(key)
+        if len(server.warm_objects) > deployment.warm_objects:
             server.warm_objects.popitem(last=False)
+        service_s *= server.measure_pace(self._now)
         slow = self._deployment.slow_server
         if slow is not None and slow[1] <= self._now < slow[2]:
             service_s *= (
                 5.0 if attempt.choice.state.entry.id == slow[0] else 1.0
             )
+        server.busy_s += service_s
         self._schedule(
             self._now + service_s, lambda: self._finish(attempt, server)
         )
 
-    def _finish(self, attempt: _Attempt, server: _Server) -> None:
+    def _finish(self, attempt: Attempt, server: emulatedfleet.Server) -> None:
         server.in_flight -= 1
         while server.waiting and server.in_flight < self._deployment.slots:
             queued = server.waiting.popleft()
@@ -342,29 +352,48 @@
                 self._start(queued, server)
         if attempt.is_finished:
             return
-        self._end(attempt, server)
+        self._end(attempt)
         took_s = self._now - attempt.sent_s
         state, call = attempt.choice.state, attempt.call
-        state.record_load(server.in_flight, len(server.waiting), self._now)
+        pace = server.measure_pace(self._now)
+        attempt.balancer.load_exchange.record_answer(
+            state,
+            reports.ServerLoad(
+                server.in_flight,
+                len(server.waiting),
+                pace if self._deployment.is_pace_stated else None,
+            ),
+            self._now,
+        )
         state.record_answer(
             call.affinity_key, took_s, attempt.choice.baseline_s, self._now
         )
         attempt.balancer.update_latency(
             call, attempt.choice, took_s, self._now
         )
-        is_in_time = self._now - attempt.arrived_s <= self._deployment.target_s
+        if attempt.choice.work_s > 0.0:
+            self._cost_errors.append(
+                abs(math.log(attempt.choice.work_s / attempt.work_s))
+            )
+        self._times_s.append(self._now - attempt.arrived_s)
+        is_in_time = self._times_s[-1] <= call.route.target_s
         self._count("in_target" if is_in_time else "late", attempt.region)
         if attempt.arrived_s < 4.0:
             self._counts["first"] += is_in_time
 
-    def _give_up(self, attempt: _Attempt, server: _Server) -> None:
+    def _give_up(self, attempt: Attempt, server: emulatedfleet.Server) -> None:
         if not attempt.is_finished:
-            self._end(attempt, server)
+            self._end(attempt)
+            self._times_s.append(attempt.call.route.timeout_s)
             self._count("failed", attempt.region)
 
-    def _end(self, attempt: _Attempt, server: _Server) -> None:
+    def _refuse(self, call: calls.Call, region: str) -> None:
+        self._times_s.append(call.route.timeout_s)
+        self._count("refused", region)
+
+    def _end(self, attempt: Attempt) -> None:
         attempt.is_finished = True
-        attempt.choice.state.in_flight -= 1
+        attempt.balancer.record_ended(attempt.call, attempt.choice)
 
     def _count(self, outcome: str, region: str) -> None:
         self._counts[outcome] += 1
@@ -375,6 +404,8 @@
     def _sum_up(self) -> Result:
         counts = self._counts
         total = max(1, counts["requests"])
+        busy_s = [server.busy_s for server in self._servers.values()]
+        times_s = sorted(self._times_s)
         return Result(
             requests=counts["requests"],
             in_target=counts["in_target"] / total,
@@ -389,4 +420,9 @@
                 / max(1, counts[f"requests {region}"])
                 for region in self._regions
             ),
+            shed=counts["shed"] / max(1, counts["attempts"]),
+            mean_s=statistics.fmean(times_s),
+            p99_s=times_s[int(0.99 * len(times_s))],
+            busiest=max(busy_s) / statistics.fmean(busy_s),
+            cost_error=statistics.fmean(self._cost_errors or [0.0]),
         )
--- a/src/cowslipshift/edge/attempts.py
+++ b/src/cowslipshift/edge/attempts.py
@@ -105,6 +105,8 @@
         self._request = request
         self._request_headers = request_headers
         self._call = call
+        call.method = request.method
+        call.body_bytes = len(body or b"")
         self._body = body
         self._sent = 0
         self._connect_failures = 0
@@ -167,7 +169,7 @@
 
     async def _attempt(self, choice: calls.Choice) -> web.Response | None:
         call, deps = self._call, self._deps
-        state, entry = choice.state, choice.state.entry
+        entry = choice.state.entry
         now = deps.clock.now()
         left_s = call.deadline_s - now
         call.tried.add(entry.id)
@@ -177,7 +179,7 @@
             entry.id,
             call.account.name if call.account is not None else None,
         )
-        state.in_flight += 1
+        deps.balancer.record_sent(call, choice, now)
         try:
             answer = await deps.client.send(
                 entry.address,
@@ -204,7 +206,7 @@
                 raise self._build_unknown(error.is_timeout) from error
             return None
         finally:
-            state.in_flight -= 1
+            deps.balancer.record_ended(call, choice)
         answer.took_s = deps.clock.now() - now
         return self._evaluate(choice, answer)
 
@@ -301,6 +303,11 @@
             state.record_answer(
                 call.affinity_key, took_s, choice.baseline_s, now
             )
+            work_s = self._deps.balancer.measure_work(choice, took_s, now)
+            if work_s is not None and choice.work_s > 0.0:
+                self._deps.metrics.observe_work(
+                    call.route, work_s / choice.work_s
+                )
             self._deps.balancer.update_latency(call, choice, took_s, now)
         self._record_version_outcome(choice, is_bad)
 
@@ -397,11 +404,18 @@
 ) -> dict[str, object]:
     """Return the log fields of a choice: its server and the load data used.
 
-    ``load_age_ms`` tells how old the server's last load report is.
+    ``load_age_ms`` tells how old the server's last load report is. The fields
+    of predicted work are left out where servers are not chosen by work.
     """
     if choice is None:
         return {}
     state = choice.state
+    by_work = {
+        "work_ms": choice.work_s * 1000,
+        "high_ms": choice.high_s * 1000,
+        "pace": choice.pace,
+        "ahead_ms": choice.ahead_s * 1000,
+    }
     return {
         "backend": state.entry.id,
         "version": state.entry.version,
@@ -414,4 +428,5 @@
         "slowness": state.estimate_slowness(now),
         "queue_ms": choice.queue_s * 1000,
         "expected_ms": choice.expected_s * 1000,
+        **(by_work if choice.work_s > 0.0 else {}),
     }
--- a/src/cowslipshift/edge/metrics.py
+++ b/src/cowslipshift/edge/metrics.py
@@ -12,6 +12,8 @@
 
 LATENCY_BUCKETS_S = (0.05, 0.1, 0.2, 0.4, 0.6, 1.0, 1.5, 2.5, 4.0, 8.0)
 
+WORK_RATIO_BUCKETS = (0.25, 0.5, 0.7, 0.85, 1.0, 1.2, 1.4, 2.0, 4.0, 8.0)
+
 
 class EdgeMetrics:
     """Counters and a latency histogram.
@@ -64,6 +66,24 @@
             buckets=list(LATENCY_BUCKETS_S),
             registry=self._registry,
         )
+        self._work_ratio = aioprometheus.Histogram(
+            "cowslipshift_work_ratio",
+            "True over predicted work of requests that did not queue.",
+            const_labels=self._labels,
+            buckets=list(WORK_RATIO_BUCKETS),
+            registry=self._registry,
+        )
+
+    def observe_work(self, route: model.Route, ratio: float) -> None:
+        """Record how good the prediction of a request's work was.
+
+        Args:
+            route: Its route.
+            ratio: True over predicted work.
+        """
+        self._work_ratio.observe(
+            {"hostname": route.hostname, "route": route.name}, ratio
+        )
 
     def count_answer(
         self, route: model.Route, priority: int, status: int, took_s: float
--- a/src/cowslipshift/steering/backends.py
+++ b/src/cowslipshift/steering/backends.py
@@ -6,6 +6,10 @@
 import math
 from typing import TYPE_CHECKING
 
+from cowslipshift.workload import inhand
+from cowslipshift.workload import loads
+from cowslipshift.workload import paces
+
 if TYPE_CHECKING:
     from cowslipshift.steering import model
 
@@ -50,6 +54,9 @@
             longer registered.
         is_suspect: Whether it was ejected and has not answered since; when
             the ejection ends, it gets one request at a time.
+        others: Load that other hosts cause, between reports.
+        pace: How long work takes there.
+        work: Predicted work of this host's requests in flight.
     """
 
     __slots__ = (
@@ -70,6 +77,9 @@
         "in_flight",
         "is_suspect",
         "is_draining",
+        "others",
+        "pace",
+        "work",
     )
 
     def __init__(
@@ -80,6 +90,9 @@
         self.cold_until_s = cold_until_s
         self.is_draining = entry.is_draining
         self.is_suspect = False
+        self.others = loads.LoadTrack(now)
+        self.pace = paces.Pace()
+        self.work = inhand.WorkInHand()
         self._other_load = 0.0
         self._usual_load = 0.0
         self._reported_s = now
@@ -169,6 +182,7 @@
         self._other_load = max(0.0, running + waiting - self.in_flight)
         usual = self._estimate_usual_load(age_s)
         weight = 1.0 - math.exp(-age_s / USUAL_LOAD_WINDOW_S)
+        self.others.record(self._other_load, now)
         self._usual_load = usual + weight * (self._other_load - usual)
         self._reported_s = now
 
--- a/src/cowslipshift/steering/balancer.py
+++ b/src/cowslipshift/steering/balancer.py
@@ -23,7 +23,11 @@
 from cowslipshift.steering import serverlimits
 from cowslipshift.steering import serversignals
 from cowslipshift.steering import splits
+from cowslipshift.workload import completion
+from cowslipshift.workload import costs
 from cowslipshift.workload import exchange
+from cowslipshift.workload import gates
+from cowslipshift.workload import selection
 
 if TYPE_CHECKING:
     from cowslipshift.steering import accounts
@@ -84,17 +88,35 @@
         )
         self._routes = routes.RouteTable(())
         self._splitters: dict[tuple[str, str], splits.Splitter] = {}
-        self._rankings: dict[tuple[str, str], list[backends.BackendState]] = {}
+        self._rankings: dict[
+            tuple[str, str, bool], list[backends.BackendState]
+        ] = {}
         self._ranked_generation = 0
         self._cold_servers = coldservers.ColdServers(membership)
         self._eligibility: steps.EligibilityRule = eligibility.Eligibility(
             self.inventory, self.server_signals, self.rollouts, regions
         )
         self._latencies = prediction.LatencyEstimator(self.round_trips)
-        self._estimator: steps.CompletionEstimator = self._latencies
-        self._selector: steps.ServerSelector = preference.CostPreference()
+        self._by_work = completion.WorkEstimator(
+            self.round_trips, costs.CostModel()
+        )
+        self.use_gate(gates.WorkGate(membership))
         self._admission: steps.AdmissionPolicy = deadlines.DeadlineAdmission()
 
+    def use_gate(self, gate: gates.WorkGate) -> None:
+        """Build the steps that depend on whether servers are chosen by work.
+
+        Args:
+            gate: Tells whether they are.
+        """
+        self._gate = gate
+        self._estimator: steps.CompletionEstimator = gates.GatedEstimator(
+            gate, self._by_work, self._latencies
+        )
+        self.selector: steps.ServerSelector = gates.GatedSelector(
+            gate, selection.WorkSelector(), preference.CostPreference()
+        )
+
     @property
     def version(self) -> int:
         """Version of the configuration in force; 0 for none."""
@@ -289,7 +311,7 @@
             self._estimator.predict(call, state, position, now)
             for position, state in enumerate(ready)
         ]
-        best = self._selector.select(call, choices, now)
+        best = self.selector.select(call, choices, now)
         if best is None:
             best = self._choose_cold(call, cold, now)
         if best is None:
@@ -310,6 +332,25 @@
         """Add this host's share of the retry slack."""
         self._retries.refill(passed_s, self.membership.count_hosts())
 
+    def record_sent(
+        self, call: calls.Call, choice: calls.Choice, now: float
+    ) -> None:
+        """Record that a request was sent to the server chosen for it."""
+        choice.state.in_flight += 1
+        if choice.work_s > 0.0:
+            choice.state.work.add(call.id, choice.work_s, now)
+
+    def record_ended(self, call: calls.Call, choice: calls.Choice) -> None:
+        """Record that a request ended there, or that it was given up."""
+        choice.state.in_flight -= 1
+        choice.state.work.remove(call.id)
+
+    def measure_work(
+        self, choice: calls.Choice, took_s: float, now: float
+    ) -> float | None:
+        """Return the work behind an answer, if its server had no queue."""
+        return self._by_work.measure_work(choice, took_s, now)
+
     def update_latency(
         self,
         call: calls.Call,
@@ -385,7 +426,8 @@
         if self._ranked_generation != self.inventory.generation:
             self._ranked_generation = self.inventory.generation
             self._rankings.clear()
-        key = (call.service, call.affinity_key or call.id)
+        is_even = self._gate.is_open
+        key = (call.service, call.affinity_key or call.id, is_even)
         ranking = self._rankings.get(key)
         if ranking is None:
             by_region: dict[str, list[backends.BackendState]] = {}
@@ -393,8 +435,11 @@
                 if state.entry.data_centre not in self.inventory.evacuated:
                     region = self._regions.get(state.entry.data_centre, "")
                     by_region.setdefault(region, []).append(state)
-            ranking = placement.rank_backends(
-                "|".join(key),
+            rank = (
+                placement.rank_evenly if is_even else placement.rank_backends
+            )
+            ranking = rank(
+                "|".join(key[:2]),
                 self._own_region,
                 by_region,
                 len(set(self._regions.values())),
--- a/src/cowslipshift/steering/calls.py
+++ b/src/cowslipshift/steering/calls.py
@@ -23,6 +23,12 @@
         position: Position in the order of preference; 0 is the first.
         load: Its estimated load.
         queue_s: Part of the prediction that is queueing time.
+        work_s: Predicted work at the server's usual pace; 0 if work is not
+            predicted.
+        high_s: Time until its answer that few such requests exceed; 0 if
+            work is not predicted.
+        pace: Factor by which work takes longer there at the moment.
+        ahead_s: Seconds of work that the server still has to do.
     """
 
     state: backends.BackendState
@@ -32,6 +38,10 @@
     position: int
     load: float
     queue_s: float
+    work_s: float = 0.0
+    high_s: float = 0.0
+    pace: float = 1.0
+    ahead_s: float = 0.0
 
 
 class Refusal(msgspec.Struct, frozen=True):
@@ -59,6 +69,8 @@
         regions: Regions that may serve it; ``None`` for all.
         uses_new_version: Whether the new version of a roll-out is to run it.
         tried: Backend servers to which an attempt was made.
+        method: Its method, or empty.
+        body_bytes: Size of its body.
     """
 
     id: str
@@ -71,6 +83,8 @@
     regions: frozenset[str] | None
     uses_new_version: bool
     tried: set[str]
+    method: str = ""
+    body_bytes: int = 0
 
     @property
     def priority(self) -> int:
--- a/src/cowslipshift/steering/placement.py
+++ b/src/cowslipshift/steering/placement.py
@@ -24,7 +24,10 @@
 
 
 def compute_region_shares(
-    local_region: str, slots: Mapping[str, float], regions: int
+    local_region: str,
+    slots: Mapping[str, float],
+    regions: int,
+    bias: float | None = None,
 ) -> dict[str, float]:
     """Return the fraction of a region's objects that each region serves.
 
@@ -33,14 +36,16 @@
         slots: Slots of a service by region.
         regions: Number of regions that clients call from; each is assumed
             to request equally much.
+        bias: How much fuller than the others the region may get; a bias for
+            it if left out.
     """
+    if bias is None:
+        bias = LOCAL_REGION_BIAS
     total = sum(slots.values())
     if total <= 0.0 or local_region not in slots:
         return dict(slots)
     demand_share = 1.0 / max(1, regions)
-    local_share = min(
-        1.0, LOCAL_REGION_BIAS * slots[local_region] / total / demand_share
-    )
+    local_share = min(1.0, bias * slots[local_region] / total / demand_share)
     spare = {
         region: max(0.0, count / total - demand_share)
         for region, count in slots.items()
@@ -85,3 +90,40 @@
         states = {s.entry.id: s for s in by_region.get(region, ())}
         ranked += [states[i] for i in hashing.rank_members(key, states)]
     return ranked
+
+
+def rank_evenly(
+    key: str,
+    local_region: str,
+    by_region: Mapping[str, list[backends.BackendState]],
+    regions: int,
+) -> list[backends.BackendState]:
+    """Return the servers in an object's order, regardless of the region.
+
+    Only the first one is chosen by region, in proportion to the slots. The
+    others may be anywhere: when a server is busy because of its region's
+    callers, so are its neighbours.
+
+    Args:
+        key: The service and the object.
+        local_region: The region in which the object is requested.
+        by_region: Servers by region.
+        regions: Number of regions that clients call from.
+    """
+    slots = {
+        region: float(sum(state.entry.slots for state in servers))
+        for region, servers in by_region.items()
+    }
+    shares = compute_region_shares(local_region, slots, regions, bias=1.0)
+    states = {
+        state.entry.id: state
+        for servers in by_region.values()
+        for state in servers
+    }
+    ranked = [states[i] for i in hashing.rank_members(key, states)]
+    for region in hashing.rank_weighted(key, shares)[:1]:
+        local = {state.entry.id for state in by_region[region]}
+        first = next(s for s in ranked if s.entry.id in local)
+        ranked.remove(first)
+        ranked.insert(0, first)
+    return ranked
--- a/src/cowslipshift/workload/exchange.py
+++ b/src/cowslipshift/workload/exchange.py
@@ -76,6 +76,8 @@
         """Record what a server stated in an answer to this host."""
         expected = state.estimate_load(now)
         state.record_load(load.running, load.waiting, now)
+        if load.pace is not None:
+            state.pace.record(load.pace, now)
         if self._membership.uses_relays:
             surprise = abs(load.running + load.waiting - expected)
             self._statements[state.entry.incarnation] = _Statement(
