Try the other server when the best one has no room

Cause: two servers are compared by cost, and the better one could be refused for its queue although the dearer one would answer in time.

Change: what admission refuses at the best server is offered to the others that were compared, where servers are chosen by work.

--- a/src/cowslipshift/steering/balancer.py
+++ b/src/cowslipshift/steering/balancer.py
@@ -316,7 +316,31 @@
             best = self._choose_cold(call, cold, now)
         if best is None:
             return calls.Refusal("no_backend", NO_BACKEND_RETRY_AFTER_S)
-        return self._admission.review(call, best, now) or best
+        refusal = self._admission.review(call, best, now)
+        if refusal is None:
+            return best
+        if not self._gate.is_open:
+            return refusal
+        return self._choose_admitted(call, choices, best, now) or refusal
+
+    def _choose_admitted(
+        self,
+        call: calls.Call,
+        choices: list[calls.Choice],
+        refused: calls.Choice,
+        now: float,
+    ) -> calls.Choice | None:
+        """Choose among the servers left when the best one has no room.
+
+        The best one may have a queue, while a dearer one would be in time.
+        """
+        left = [
+            choice
+            for choice in choices
+            if choice is not refused
+            and self._admission.review(call, choice, now) is None
+        ]
+        return self.selector.select(call, left, now)
 
     def record_connect(self, address: str, took_s: float) -> None:
         """Record how long it took to open a connection to a server."""
