Refuse no request for a queue that is only possible

Cause: a wait that is expected because a load is uncertain was reported as a queue.

Change: only a load at the slots is a queue; the expected wait still counts in comparing servers.

--- a/src/cowslipshift/telemetry/explanation.py
+++ b/src/cowslipshift/telemetry/explanation.py
@@ -192,6 +192,16 @@
             f"the server was {float(last['slowness']):.1f} times slower "
             "than usual"
         )
+    if float(last.get("pace", "1")) > 1.5:
+        reasons.append(
+            f"work took {float(last['pace']):.1f} times longer than usual on "
+            "its machine"
+        )
+    if took > float(last.get("high_ms", "inf")):
+        reasons.append(
+            f"its work was longer than that of 19 in 20 such requests, which "
+            f"end within {_format(last, 'high_ms')} ms there"
+        )
     if not reasons:
         reasons.append(
             f"{_format(last, 'expected_ms')} ms were expected: the host had "
--- a/src/cowslipshift/workload/completion.py
+++ b/src/cowslipshift/workload/completion.py
@@ -59,18 +59,20 @@
         leaving = loads.expect_excess(
             load + 1.0 - slots, state.others.estimate_variance(now)
         )
-        queue_s = pace * ahead_s / max(load, 1.0) * leaving / slots
+        wait_s = pace * ahead_s / max(load, 1.0) * leaving / slots
+        # A wait that is only possible is no queue: admission refuses for one.
+        queue_s = wait_s if load + 1.0 > slots else 0.0
         rtt_s = self._round_trips.estimate(state.entry.data_centre)
         return calls.Choice(
             state,
-            rtt_s + queue_s + pace * cost.mean_s,
-            rtt_s + queue_s + cost.mean_s,
+            rtt_s + wait_s + pace * cost.mean_s,
+            rtt_s + wait_s + cost.mean_s,
             is_known_warm,
             position,
             load,
             queue_s,
             work_s=cost.mean_s,
-            high_s=rtt_s + queue_s + pace * cost.high_s,
+            high_s=rtt_s + wait_s + pace * cost.high_s,
             pace=pace,
             ahead_s=ahead_s,
         )
