--- a/src/cowslipshift/steering/balancer.py
+++ b/src/cowslipshift/steering/balancer.py
@@ -24,7 +24,11 @@
 from cowslipshift.steering import serverlimits
 from cowslipshift.steering import serversignals
 from cowslipshift.steering import splits
+from cowslipshift.workload import completion
+from cowslipshift.workload import costs
 from cowslipshift.workload import exchange
+from cowslipshift.workload import gates
+from cowslipshift.workload import selection
 from cowslipshift.workload import spreading
 
 if TYPE_CHECKING:
@@ -89,20 +93,39 @@
         )
         self._routes = routes.RouteTable(())
         self._splitters: dict[tuple[str, str], splits.Splitter] = {}
-        self._rankings: dict[tuple[str, str], list[backends.BackendState]] = {}
+        self._rankings: dict[
+            tuple[str, str, bool], list[backends.BackendState]
+        ] = {}
         self._ranked_generation = (0, 0)
         self._cold_servers = coldservers.ColdServers(membership)
         self._eligibility: steps.EligibilityRule = eligibility.Eligibility(
             self.inventory, self.server_signals, self.rollouts, regions
         )
         self._latencies = prediction.LatencyEstimator(self.round_trips)
-        self._estimator: steps.CompletionEstimator = self._latencies
-        self._selector: steps.ServerSelector = preference.CostPreference()
+        self._by_work = completion.WorkEstimator(
+            self.round_trips, costs.CostModel()
+        )
+        self.use_gate(gates.WorkGate(membership))
+        self._deadlines = deadlines.DeadlineAdmission()
         self._urgency = urgency.UrgencyAdmission(
-            deadlines.DeadlineAdmission(), membership, self.inventory
+            self._deadlines, membership, self.inventory
         )
         self._admission: steps.AdmissionPolicy = self._urgency
 
+    def use_gate(self, gate: gates.WorkGate) -> None:
+        """Build the steps that depend on whether servers are chosen by work.
+
+        Args:
+            gate: Tells whether they are.
+        """
+        self._gate = gate
+        self._estimator: steps.CompletionEstimator = gates.GatedEstimator(
+            gate, self._by_work, self._latencies
+        )
+        self.selector: steps.ServerSelector = gates.GatedSelector(
+            gate, selection.WorkSelector(), preference.CostPreference()
+        )
+
     @property
     def version(self) -> int:
         """Version of the configuration in force; 0 for none."""
@@ -306,13 +329,29 @@
             self._estimator.predict(call, state, position, now)
             for position, state in enumerate(ready)
         ]
-        best = self._selector.select(call, choices, now)
+        best = self._select(call, choices, now)
         if best is None:
             best = self._choose_cold(call, cold, now)
         if best is None:
             return calls.Refusal("no_backend", NO_BACKEND_RETRY_AFTER_S)
         return self._admission.review(call, best, now) or best
 
+    def _select(
+        self, call: calls.Call, choices: list[calls.Choice], now: float
+    ) -> calls.Choice | None:
+        """Select one of the servers, where by work one that is in time.
+
+        The best one may have a queue, while a dearer one would be in time.
+        """
+        if self._gate.is_open:
+            in_time = [
+                choice
+                for choice in choices
+                if self._deadlines.review(call, choice, now) is None
+            ]
+            choices = in_time or choices
+        return self.selector.select(call, choices, now)
+
     def record_connect(self, address: str, took_s: float) -> None:
         """Record how long it took to open a connection to a server."""
         data_centre = self.inventory.find_data_centre(address)
@@ -327,6 +366,25 @@
         """Add this host's share of the retry slack."""
         self._retries.refill(passed_s, self.membership.count_hosts())
 
+    def record_sent(
+        self, call: calls.Call, choice: calls.Choice, now: float
+    ) -> None:
+        """Record that a request was sent to the server chosen for it."""
+        choice.state.in_flight += 1
+        if choice.work_s > 0.0:
+            choice.state.work.add(call.id, choice.work_s, now)
+
+    def record_ended(self, call: calls.Call, choice: calls.Choice) -> None:
+        """Record that a request ended there, or that it was given up."""
+        choice.state.in_flight -= 1
+        choice.state.work.remove(call.id)
+
+    def measure_work(
+        self, choice: calls.Choice, took_s: float, now: float
+    ) -> float | None:
+        """Return the work behind an answer, if its server had no queue."""
+        return self._by_work.measure_work(choice, took_s, now)
+
     def update_latency(
         self,
         call: calls.Call,
@@ -403,7 +461,8 @@
         if self._ranked_generation != generation:
             self._ranked_generation = generation
             self._rankings.clear()
-        key = (call.service, call.affinity_key or call.id)
+        is_even = self._gate.is_open
+        key = (call.service, call.affinity_key or call.id, is_even)
         ranking = self._rankings.get(key)
         if ranking is None:
             by_region: dict[str, list[backends.BackendState]] = {}
@@ -411,8 +470,11 @@
                 if state.entry.data_centre not in self.inventory.evacuated:
                     region = self._regions.get(state.entry.data_centre, "")
                     by_region.setdefault(region, []).append(state)
-            ranking = placement.rank_backends(
-                "|".join(key),
+            rank = (
+                placement.rank_evenly if is_even else placement.rank_backends
+            )
+            ranking = rank(
+                "|".join(key[:2]),
                 self._own_region,
                 by_region,
                 len(set(self._regions.values())),
--- a/src/cowslipshift/steering/calls.py
+++ b/src/cowslipshift/steering/calls.py
@@ -23,6 +23,12 @@
         position: Position in the order of preference; 0 is the first.
         load: Its estimated load.
         queue_s: Part of the prediction that is queueing time.
+        work_s: Predicted work at the server's usual pace; 0 if work is not
+            predicted.
+        high_s: Time until its answer that few such requests exceed; 0 if
+            work is not predicted.
+        pace: Factor by which work takes longer there at the moment.
+        ahead_s: Seconds of work that the server still has to do.
     """
 
     state: backends.BackendState
@@ -32,6 +38,10 @@
     position: int
     load: float
     queue_s: float
+    work_s: float = 0.0
+    high_s: float = 0.0
+    pace: float = 1.0
+    ahead_s: float = 0.0
 
 
 class Refusal(msgspec.Struct, frozen=True):
@@ -67,6 +77,8 @@
         share: Share of the requests of its rank that its server admits.
         has_returned: Whether it took the place that an earlier refusal
             promised to its caller.
+        method: Its method, or empty.
+        body_bytes: Size of its body.
     """
 
     id: str
@@ -83,6 +95,8 @@
     unix_offset_s: float = 0.0
     share: float = 1.0
     has_returned: bool = False
+    method: str = ""
+    body_bytes: int = 0
 
     @property
     def priority(self) -> int:
--- a/src/cowslipshift/steering/placement.py
+++ b/src/cowslipshift/steering/placement.py
@@ -24,7 +24,9 @@
 
 
 def compute_region_shares(
-    local_region: str, slots: Mapping[str, float], regions: int
+    local_region: str,
+    slots: Mapping[str, float],
+    regions: int,
 ) -> dict[str, float]:
     """Return the fraction of a region's objects that each region serves.
 
@@ -89,3 +91,45 @@
         states = {s.entry.id: s for s in by_region.get(region, ())}
         ranked += [states[i] for i in hashing.rank_members(key, states)]
     return ranked
+
+
+def rank_evenly(
+    key: str,
+    local_region: str,
+    by_region: Mapping[str, list[backends.BackendState]],
+    regions: int,
+    shares: Mapping[str, float] | None = None,
+) -> list[backends.BackendState]:
+    """Return the servers in an object's order, regardless of the region.
+
+    Only the first one is chosen by region, in proportion to the slots. The
+    others may be anywhere: when a server is busy because of its region's
+    callers, so are its neighbours.
+
+    Args:
+        key: The service and the object.
+        local_region: The region in which the object is requested.
+        by_region: Servers by region.
+        regions: Number of regions that clients call from.
+        shares: Fraction of the region's objects that each region serves;
+            ``None`` to compute them from the sizes of the regions.
+    """
+    if shares is None:
+        slots = {
+            region: float(sum(state.entry.slots for state in servers))
+            for region, servers in by_region.items()
+        }
+        shares = compute_region_shares(local_region, slots, regions)
+    states = {
+        state.entry.id: state
+        for servers in by_region.values()
+        for state in servers
+    }
+    ranked = [states[i] for i in hashing.rank_members(key, states)]
+    present = {r: share for r, share in shares.items() if by_region.get(r)}
+    for region in hashing.rank_weighted(key, present)[:1]:
+        local = {state.entry.id for state in by_region[region]}
+        first = next(s for s in ranked if s.entry.id in local)
+        ranked.remove(first)
+        ranked.insert(0, first)
+    return ranked
