--- a/src/cowslipshift/steering/limiters.py
+++ b/src/cowslipshift/steering/limiters.py
@@ -5,8 +5,7 @@
 that others reported, and those that they have not reported yet. While the
 quota suffices for all that arrives until hosts hear of each other, everything
 is admitted. Near the limit, all hosts admit the same fraction of what they
-receive, which follows from the room left, so the quota is not spent twice and
-does not depend on how requests are distributed over hosts.
+receive, however requests are distributed over them.
 """
 
 from __future__ import annotations
@@ -20,6 +19,8 @@
 from cowslipshift.steering import admissions
 from cowslipshift.steering import demands
 from cowslipshift.steering import peerusages
+from cowslipshift.steering import rooms
+from cowslipshift.steering import startlimits
 from cowslipshift.steering import usagereports
 
 if TYPE_CHECKING:
@@ -41,9 +42,9 @@
 unless this host receives more than all of them could."""
 
 AHEAD_FACTOR = 0.5
-"""Time ahead for which room is divided, in mean ages of the reports."""
-
 MAX_AHEAD_S = 1.0
+"""Time ahead for which room is divided, in mean ages of the reports, and its
+maximum."""
 
 UNHEARD_AGE_S = 0.35
 """Age assumed of reports while no host has reported demand."""
@@ -52,14 +53,8 @@
 """Fraction of the limit below which the admissions that are known don't tell
 which hosts receive requests of the account."""
 
-FRACTION_WINDOW_S = 0.4
-"""Time over which the admitted fraction is averaged."""
-
-AHEAD_FACTOR = 0.5
-"""Time ahead for which room is divided, in mean ages of the reports."""
-
-MAX_AHEAD_S = 1.0
-"""Longest time ahead for which room is divided among the hosts."""
+ROOM_FRACTION = 0.99
+"""Admitted fraction from which an account counts as having room."""
 
 SOON_S = 0.05
 """Time ahead over which the rate of leaving admissions is measured."""
@@ -68,22 +63,10 @@
 """Time for which admissions count beyond the window, as requests reach servers
 later than they are admitted, by various times."""
 
-RESTART_FRACTION = 0.5
-"""Fraction of the limit that a restarted host grants at first, as it does not
-know what its predecessor admitted."""
-
-JOIN_BLIND_S = 1.0
-"""How long a host that has joined may not have heard the counts of the others;
-meanwhile it grants its even share of the rate only."""
-
 MIN_RETRY_AFTER_S = 0.2
 MAX_RETRY_AFTER_S = 2.0
 RETRY_STEP_S = 0.2
 
-MAX_FIRST_TOTAL = 1_000_000
-"""Bound of the number from which a host counts, so that the others notice
-when it has started again."""
-
 FILLING_FRACTION = 0.4
 """Fraction of the limit above which usage is reported without delay."""
 
@@ -141,33 +124,6 @@
     slack: float = 0.0
 
 
-class _Room(msgspec.Struct, frozen=True):
-    """Room in the quota, and what all hosts may want of it.
-
-    Attributes:
-        limit: Requests allowed in the window.
-        used: Requests of the window that count against it.
-        reserved: Those of them that silent hosts may have admitted.
-        unreported: Admissions of other hosts that are not reported yet.
-        leaving: Those that leave the window in the time ahead.
-        arriving: Requests that arrive in the time ahead.
-    """
-
-    limit: float
-    used: float
-    reserved: float
-    unreported: float
-    leaving: float
-    arriving: float
-
-    def compute_fraction(self) -> float:
-        """Return the fraction of requests that all hosts may admit."""
-        left = self.limit - self.used - self.unreported + self.leaving
-        if left < 1.0:
-            return 0.0
-        return left / self.arriving if left < self.arriving else 1.0
-
-
 class AccountLimiter:
     """Rate limiter of one account, as one host sees the usage.
 
@@ -184,7 +140,6 @@
         "_credit",
         "_demand",
         "_fraction",
-        "_fraction_s",
         "_is_filling",
         "_limit",
         "_overshoot",
@@ -214,12 +169,10 @@
         self._admitted = admissions.AdmissionLedger(
             policy.window_s + WINDOW_MARGIN_S
         )
-        start = hashing.hash_fraction(f"{host}|{account.name}|{now}")
-        self._total = 1 + int(start * MAX_FIRST_TOTAL)
+        self._total = usagereports.choose_first_total(host, self.name, now)
         self._peers = peerusages.PeerUsages(policy.window_s + WINDOW_MARGIN_S)
         self._demand = demands.AccountDemand(now)
-        self._fraction = 1.0
-        self._fraction_s = now
+        self._fraction = rooms.AverageFraction(now)
         self._is_filling = False
         self._unreported = 0
         self._reporter = usagereports.UsageReporter(
@@ -258,13 +211,13 @@
             ):
                 room = self._measure_room(now, liveness, demand)
                 fraction = room.compute_fraction()
-                self._average_fraction(now, fraction)
+                self._fraction.record(now, fraction)
                 self._credit += min(1.0, fraction)
                 if self._credit < 1.0:
                     return self._choose_retry_after(now, room)
                 self._credit -= 1.0
             else:
-                self._average_fraction(now, 1.0)
+                self._fraction.record(now, 1.0)
             self._is_filling = used >= FILLING_FRACTION * limit
         self._admitted.add(now)
         self._total += 1
@@ -283,7 +236,7 @@
 
     def _measure_room(
         self, now: float, liveness: PeerLiveness, own_demand: float
-    ) -> _Room:
+    ) -> rooms.Room:
         limit = self.measure_limit(now)
         peers = self._peers.estimate(
             now, liveness, limit / max(1, liveness.hosts), self._is_filling
@@ -294,9 +247,8 @@
             others = liveness.hosts - len(liveness.silent) - 1
         grown = self._demand.estimate_others(own_demand, peers.demand, others)
         since_s = peers.age_s or UNHEARD_AGE_S
-        if liveness.hosts <= 1:
-            since_s = 0.0
-        unreported = self._fraction * (
+        since_s *= liveness.hosts > 1
+        unreported = self._fraction.value * (
             peers.unreported + (grown - peers.demand) * since_s
         )
         unknown = unreported + peers.reserved
@@ -308,7 +260,7 @@
         leaving = 0.0
         if limit - used - unknown < arriving:
             leaving = self._count_leaving(now, ahead_s, peers.live_fraction)
-        return _Room(
+        return rooms.Room(
             limit,
             used + peers.reserved,
             peers.reserved,
@@ -321,13 +273,6 @@
         """Return the admissions in the window, as far as reported."""
         return self._admitted.count(now) + self._peers.count(now)
 
-    def _average_fraction(self, now: float, fraction: float) -> None:
-        passed_s = now - self._fraction_s
-        if passed_s > 0.0:
-            kept = math.exp(-passed_s / FRACTION_WINDOW_S)
-            self._fraction = fraction + (self._fraction - fraction) * kept
-            self._fraction_s = now
-
     def _count_leaving(
         self, now: float, ahead_s: float, live_fraction: float
     ) -> float:
@@ -338,15 +283,14 @@
         """
         if ahead_s <= 0.0:
             return 0.0
-        soon_s = min(ahead_s, SOON_S)
-        leaving = []
-        for within_s in (soon_s, ahead_s):
+        rates = []
+        for within_s in (min(ahead_s, SOON_S), ahead_s):
             own = self._admitted.count_leaving(now, within_s)
             others = self._peers.count_leaving(now, within_s)
-            leaving.append((own + live_fraction * others) * ahead_s / within_s)
-        return min(leaving)
+            rates.append((own + live_fraction * others) / within_s)
+        return ahead_s * min(rates)
 
-    def _choose_retry_after(self, now: float, room: _Room) -> float:
+    def _choose_retry_after(self, now: float, room: rooms.Room) -> float:
         """Return when a caller that returns would probably be admitted."""
         wait_s = MIN_RETRY_AFTER_S
         while wait_s < MAX_RETRY_AFTER_S:
@@ -367,12 +311,12 @@
 
         It may not know yet what the other hosts have admitted.
         """
-        elapsed_s = now - self._started_s
-        if elapsed_s >= JOIN_BLIND_S or liveness.hosts <= 1:
+        share = startlimits.compute_blind_share(
+            self._limit, self._window_s, now - self._started_s, liveness.hosts
+        )
+        if share is None:
             return False
-        even_rate = self._limit / self._window_s / liveness.hosts
-        admitted = self._admitted.count(now)
-        return admitted >= even_rate * elapsed_s + self._credit
+        return self._admitted.count(now) >= share + self._credit
 
     @property
     def is_filling(self) -> bool:
@@ -396,14 +340,14 @@
         self._is_filling = used >= FILLING_FRACTION * self._limit > 0.0
         if self._is_filling:
             room = self._measure_room(now, liveness, demand)
-            self._average_fraction(now, room.compute_fraction())
+            self._fraction.record(now, room.compute_fraction())
         usage = Usage(self.name, max(0, round(own)), demand, self._total)
         is_due = self._reporter.should_report(
             usage,
             now,
             self._limit / max(1, liveness.hosts),
             self._is_filling,
-            self._fraction >= 1.0,
+            self._fraction.value >= ROOM_FRACTION,
         )
         if not is_due and not (
             is_full_report and self._reporter.is_used(usage)
@@ -437,11 +381,8 @@
 
     def measure_limit(self, now: float) -> float:
         """Return the requests allowed in a window."""
-        elapsed_windows = (now - self._started_s) / self._window_s
-        if elapsed_windows >= 1.0:
-            return self._limit
-        return self._limit * (
-            RESTART_FRACTION + (1.0 - RESTART_FRACTION) * elapsed_windows
+        return startlimits.scale_limit(
+            self._limit, (now - self._started_s) / self._window_s
         )
 
     def describe(self, now: float, liveness: PeerLiveness) -> dict[str, float]:
--- a/src/cowslipshift/steering/usagereports.py
+++ b/src/cowslipshift/steering/usagereports.py
@@ -4,9 +4,15 @@
 
 from typing import TYPE_CHECKING
 
+from cowslipshift.coordination import hashing
+
 if TYPE_CHECKING:
     from cowslipshift.steering import limiters
 
+MAX_FIRST_TOTAL = 1_000_000
+"""Bound of the number from which a host counts, so that the others notice
+when it has started again."""
+
 REPORT_CHANGE_FRACTION = 0.02
 """Fraction of a host's even share of the limit whose change is worth a report.
 """
@@ -24,6 +30,18 @@
 or late one would leave admissions unknown."""
 
 
+def choose_first_total(host: str, account: str, now: float) -> int:
+    """Return the number from which a host counts an account's admissions.
+
+    Args:
+        host: Name of the host.
+        account: Name of the account.
+        now: Time at which the host started.
+    """
+    start = hashing.hash_fraction(f"{host}|{account}|{now}")
+    return 1 + int(start * MAX_FIRST_TOTAL)
+
+
 class UsageReporter:
     """What the other hosts have been told of an account's usage.
 
--- a/src/cowslipshift/telemetry/explanation.py
+++ b/src/cowslipshift/telemetry/explanation.py
@@ -119,6 +119,11 @@
             f"{last.get('account')} in the window that allows "
             f"{_format(last, 'limit')}."
         )
+        if "unreported" in last:
+            sentence += (
+                f" Of these, {_format(last, 'unreported')} were assumed of "
+                "hosts whose reports were under way."
+            )
         silent = int(float(last.get("silent_hosts", "0")))
         if silent:
             sentence += (
--- a/tests/edge/test_refusals.py
+++ b/tests/edge/test_refusals.py
@@ -241,6 +241,24 @@
     assert fleet.list_records("w") == []
 
 
+# Guards against wrong refusals: requests that a host could not send were held
+# against the quota of their account.
+async def test_requests_that_no_server_ran_use_up_no_quota() -> None:
+    async with platformfleet.PlatformFleet(backends=0) as fleet:
+        config = msgspec.json.decode(platformfleet.build_config(2))
+        config["tenants"][0].update(rate_per_s=0.01, burst=1)
+        fleet.store.put(names.CONFIG_KEY, msgspec.json.encode(config))
+        host = fleet.hosts[0]
+        await platformfleet.wait_until(
+            lambda: host.balancer.configuration.version == 2
+        )
+        answers = [
+            await rawcaller.send_one(fleet, f"w-{number}")
+            for number in range(40)
+        ]
+        assert {answer.status for answer in answers} == {503}
+
+
 # Guards against REFUSED: a request that waits for its turn, or for a server,
 # is refused and still sent.
 async def test_order_that_is_refused_for_a_pause_is_never_sent(fleet) -> None:
