Tell callers a turn that is early enough for their target

Change: they are told their turn, unpromised, if an answer then meets its target or if servers of the service have free slots on the whole.

--- a/src/cowslipshift/admission/urgency.py
+++ b/src/cowslipshift/admission/urgency.py
@@ -198,8 +198,28 @@
                 call.service, caller, now + wait_s, rate, reserved, now
             ):
                 return calls.Refusal(reason, wait_s, choice, True)
+            if self._has_time(call, choice, wait_s, now):
+                return calls.Refusal(reason, wait_s, choice)
         return calls.Refusal(reason, max(wait_s, left_s), choice)
 
+    def _has_time(
+        self,
+        call: calls.Call,
+        choice: calls.Choice,
+        wait_s: float,
+        now: float,
+    ) -> bool:
+        """Tell whether a return without a promise is of use to a caller.
+
+        It is if the answer can still meet its target, or if its server alone
+        is short of room.
+        """
+        if self._measure_room(call.service, now).utilisation < 1.0:
+            return True
+        unqueued_s = choice.expected_s - choice.queue_s
+        target_end_s = call.arrived_s + call.route.target_s
+        return now + wait_s + unqueued_s <= target_end_s
+
     def _measure_rate(
         self, call: calls.Call, choice: calls.Choice, now: float
     ) -> float:
