--- a/src/cowslipshift/admission/urgency.py
+++ b/src/cowslipshift/admission/urgency.py
@@ -217,8 +217,8 @@
         if self._measure_room(call.service, now).utilisation < 1.0:
             return True
         unqueued_s = choice.expected_s - choice.queue_s
-        target_end_s = call.arrived_s + call.route.target_s
-        return now + wait_s + unqueued_s <= target_end_s
+        answered_s = now + max(wait_s, choice.queue_s) + unqueued_s
+        return answered_s <= call.arrived_s + call.route.target_s
 
     def _measure_rate(
         self, call: calls.Call, choice: calls.Choice, now: float
