--- a/tests/admission/queueing.py
+++ b/tests/admission/queueing.py
@@ -57,7 +57,6 @@
     returned: int = 0
     in_target: int = 0
     late: int = 0
-    starved: int = 0
 
 
 class Queue:
