--- a/tests/edge/test_metrics.py
+++ b/tests/edge/test_metrics.py
@@ -29,3 +29,16 @@
         if line.startswith("cowslipshift_request_seconds_count")
     ]
     assert len(observed) == 2
+
+
+def test_error_of_predicted_work_is_exported_by_route() -> None:
+    metrics = metric.EdgeMetrics("h1")
+    for ratio in (0.9, 1.1, 7.0):
+        metrics.observe_work(builders.build_route(), ratio)
+    lines = metrics.render()[0].decode().splitlines()
+    counts = {
+        line.partition('le="')[2].partition('"')[0]: float(line.split()[-1])
+        for line in lines
+        if line.startswith("cowslipshift_work_ratio_bucket")
+    }
+    assert (counts["1.0"], counts["1.2"], counts["8.0"]) == (1, 2, 3)
--- a/tests/workload/test_gates.py
+++ b/tests/workload/test_gates.py
@@ -7,6 +7,7 @@
 from bench import balancing
 from tests import builders
 
+from cowslipshift.edge import attempts
 from cowslipshift.steering import balancer as balancers
 from cowslipshift.steering import calls
 from cowslipshift.steering import placement
@@ -123,3 +124,16 @@
     )
     assert by_work["in_target"] > before["in_target"] + 0.03
     assert by_work["mean_s"] < before["mean_s"]
+
+
+def test_log_fields_tell_what_a_choice_by_work_was_made_by() -> None:
+    by_work = {"work_ms", "high_ms", "pace", "ahead_ms"}
+    for peers, has_fields in ((0, False), (40, True)):
+        balancer = builders.build_balancer(
+            backends=SERVERS, peers=tuple(f"p{n}" for n in range(peers))
+        )
+        choice = balancer.choose_backend(builders.open_call(balancer), 0.0)
+        assert isinstance(choice, calls.Choice)
+        fields = attempts.describe_choice(choice, 0.0)
+        assert (by_work <= set(fields)) == has_fields
+        assert bool(by_work & set(fields)) == has_fields
