--- a/src/cowslipshift/workload/costs.py
+++ b/src/cowslipshift/workload/costs.py
@@ -34,6 +34,7 @@
 """Assumed share of requests that find their object warm at its first server
 and at others."""
 
+MAX_ROUTES = 4096
 MAX_TRAITS = 4096
 TRAIT_PRIOR_WEIGHT = 8.0
 MIN_TRAIT_GAIN = 0.02
@@ -89,7 +90,7 @@
     """Predicts costs by route, object, account, method and size of a body.
 
     Properties have a factor each, bounded in number; those not seen for
-    longest are forgotten.
+    longest are forgotten, as are the first of too many routes.
     """
 
     __slots__ = ("_routes", "_traits")
@@ -100,6 +101,11 @@
             collections.OrderedDict()
         )
 
+    @property
+    def route_count(self) -> int:
+        """Number of routes whose costs are kept."""
+        return len(self._routes)
+
     @property
     def trait_count(self) -> int:
         """Number of properties with a factor of their own."""
@@ -175,6 +181,8 @@
     def _find_route(self, route: model.Route) -> _RouteCost:
         known = self._routes.get(route.key)
         if known is None:
+            if len(self._routes) >= MAX_ROUTES:
+                del self._routes[next(iter(self._routes))]
             known = self._routes[route.key] = _RouteCost(route)
         return known
 
--- a/tests/workload/test_costs.py
+++ b/tests/workload/test_costs.py
@@ -118,6 +118,10 @@
         call.affinity_key = f"o{number}"
         model.update(call, True, 0, WARM_S)
     assert model.trait_count <= costs.MAX_TRAITS
+    for number in range(costs.MAX_ROUTES + 100):
+        call.route = builders.build_route(prefix=f"/{number}/")
+        model.predict(call, True, 0)
+    assert model.route_count <= costs.MAX_ROUTES
 
 
 def test_new_costs_replace_old_ones() -> None:
