--- a/bench/emulatedfleet.py
+++ b/bench/emulatedfleet.py
@@ -58,6 +58,40 @@
     period_s: float
 
 
+class Result(msgspec.Struct):
+    """Outcomes of the requests, as fractions of their number.
+
+    Attributes:
+        requests: Number of requests.
+        warm: Fraction of attempts that found a warm object.
+        across: Fraction of attempts that went to another region.
+        first_s: Fraction within target latency of those in the first four
+            seconds.
+        worst_region: Fraction within target latency in the worst region.
+        shed: Fraction of attempts that found a full queue.
+        mean_s: Mean time of requests; one without an answer counts as long
+            as its timeout.
+        p99_s: The 99th percentile of that.
+        busiest: Work of the busiest server over the mean.
+        cost_error: Mean logarithmic error of the predicted work.
+    """
+
+    requests: int = 0
+    in_target: float = 0.0
+    late: float = 0.0
+    refused: float = 0.0
+    failed: float = 0.0
+    warm: float = 0.0
+    across: float = 0.0
+    first_s: float = 0.0
+    worst_region: float = 0.0
+    shed: float = 0.0
+    mean_s: float = 0.0
+    p99_s: float = 0.0
+    busiest: float = 0.0
+    cost_error: float = 0.0
+
+
 class Server:
     """Queue, warm objects and pace of one emulated backend server.
 
