--- a/tests/edge/daemons.py
+++ b/tests/edge/daemons.py
@@ -44,12 +44,18 @@
         self.process: asyncio.subprocess.Process | None = None
 
     async def start(
-        self, folder: pathlib.Path, name: str, centre: str
+        self,
+        folder: pathlib.Path,
+        name: str,
+        centre: str,
+        more_settings: str = "",
     ) -> None:
         ports = portreservations.reserve_ports(5, consecutive=2)
         store = await self.fleet.open_store_port()
         self.front = f"127.0.0.1:{ports[2]}"
         self.ready = f"127.0.0.1:{ports[3]}"
+        self.directory = f"127.0.0.1:{ports[4]}"
+        self.internal = f"127.0.0.1:{ports[1]}"
         path = folder / f"{name}.toml"
         path.write_text(
             SETTINGS.format(
@@ -62,6 +68,7 @@
                 directory=ports[4],
                 store=store,
             )
+            + more_settings
         )
         self.log = folder / f"{name}.log"
         with self.log.open("wb") as output:
