Limit what a connection sends, and how long it waits, on all ports

Cause: aiohttp's parser held a part of a head of up to 2 MB a connection, and nothing limited blank lines, time, connections that wait or answers that nobody reads.

Change: heads are kept as bytes until they are whole, within the limits of the configuration in force; one register for callers and one for the other ports closes what waits too long, or longest when too many wait.

--- a/src/cowslipshift/daemon/factory.py
+++ b/src/cowslipshift/daemon/factory.py
@@ -43,7 +43,6 @@
     from cowslipshift.daemon import settings as daemon_settings
 
 ATTEMPT_RETENTION_S = 60.0
-MAX_HEADER_BYTES = 16_384
 
 
 class Assembly:
--- a/src/cowslipshift/daemon/service.py
+++ b/src/cowslipshift/daemon/service.py
@@ -18,6 +18,9 @@
 from cowslipshift.daemon import host as hosts
 from cowslipshift.daemon import membership
 from cowslipshift.daemon import settings as daemon_settings
+from cowslipshift.inbound import connections
+from cowslipshift.inbound import limits as inbound_limits
+from cowslipshift.inbound import register
 from cowslipshift.store import exceptions as store_exceptions
 from cowslipshift.store import keys
 from cowslipshift.telemetry import logs
@@ -36,6 +39,7 @@
 """Time for the leaving state to reach the look-ups of other hosts."""
 
 POLL_INTERVAL_S = 0.05
+CHECK_INTERVAL_S = 0.1
 CLOSE_TIMEOUT_S = 2.0
 
 
@@ -53,8 +57,16 @@
             settings, _exit_superseded
         )
         assembly = self._assembly
+        self._caller_connections = register.ConnectionRegister(
+            assembly.host.clock, inbound_limits.choose_max_waiting()
+        )
+        self._peer_connections = register.ConnectionRegister(
+            assembly.host.clock, inbound_limits.choose_max_waiting()
+        )
         self._peer_runner = await _listen(
-            assembly.peer_application, settings.peer_listen
+            assembly.peer_application,
+            self._peer_connections,
+            settings.peer_listen,
         )
         assembly.host.network.set_peers(
             {f"@{address}": address for address in settings.peers}
@@ -63,7 +75,9 @@
         self._start_tasks()
         await self._wait_for_links()
         self._caller_runner = await _listen(
-            assembly.caller_application, settings.listen
+            assembly.caller_application,
+            self._caller_connections,
+            settings.listen,
         )
         assembly.host.publish_state(hosts.LIVE_STATE)
         self._log.info(
@@ -119,6 +133,7 @@
             assembly.recorder.run_evaluation,
             assembly.recorder.run_recording,
             self._run_table_transfers,
+            self._run_connection_checks,
         ]
         for run in runs:
             self._supervisor.start(run)
@@ -128,6 +143,12 @@
             await self._assembly.host.components.deduplicator.transfer_tables()
             await asyncio.sleep(POLL_INTERVAL_S)
 
+    async def _run_connection_checks(self) -> None:
+        while True:
+            self._caller_connections.close_expired()
+            self._peer_connections.close_expired()
+            await asyncio.sleep(CHECK_INTERVAL_S)
+
     def _send_heartbeats(self) -> None:
         network = self._assembly.host.network
         for host in network.list_linked():
@@ -180,13 +201,15 @@
     os._exit(SUPERSEDED_EXIT_STATUS)
 
 
-async def _listen(application: web.Application, address: str) -> web.AppRunner:
-    runner = web.AppRunner(
+async def _listen(
+    application: web.Application,
+    connection_register: register.ConnectionRegister,
+    address: str,
+) -> web.AppRunner:
+    runner = connections.InboundRunner(
         application,
-        access_log=None,
+        connection_register,
         handler_cancellation=True,
-        max_line_size=factory.MAX_HEADER_BYTES,
-        max_field_size=factory.MAX_HEADER_BYTES,
         shutdown_timeout=CLOSE_TIMEOUT_S,
     )
     await runner.setup()
--- a/src/cowslipshift/edge/callers.py
+++ b/src/cowslipshift/edge/callers.py
@@ -4,18 +4,17 @@
 
 import asyncio
 import collections
-import select
 from typing import Any
 from typing import TYPE_CHECKING
 
 from aiohttp import hdrs
 from aiohttp import http_writer
 from aiohttp import HttpVersion11
-from aiohttp import streams
 from aiohttp import web
 from aiohttp import web_protocol
 import msgspec
 
+from cowslipshift.inbound import connections
 from cowslipshift.telemetry import logs
 
 if TYPE_CHECKING:
@@ -23,6 +22,7 @@
     from collections.abc import Coroutine
 
     from cowslipshift import clock as clocks
+    from cowslipshift.inbound import register
 
 MAX_CONCURRENT_REQUESTS = 8
 """Requests of one connection that are handled at the same time."""
@@ -35,7 +35,13 @@
 """How long a connection that was just accepted is left open for its first
 request when the host stops."""
 
-HEAD_END = b"\r\n\r\n"
+ERROR_CODES = {
+    400: "request_malformed",
+    408: "head_late",
+    431: "head_too_large",
+}
+"""Codes of errors that are found in front of a request's handler."""
+
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 _log = logs.EventLog("caller")
@@ -93,7 +99,7 @@
         return len(body) if isinstance(body, (bytes, bytearray)) else 0
 
 
-class CallerConnection(web_protocol.RequestHandler):
+class CallerConnection(connections.InboundConnection):
     """A connection on which a caller may send requests without waiting.
 
     aiohttp handles the requests of a connection one after the other. Those
@@ -103,19 +109,14 @@
 
     __slots__ = (
         "_caller_server",
-        "_is_reading",
-        "_last_body",
         "_opened_s",
         "_queue",
     )
 
     def __init__(self, server: CallerServer, **options: Any) -> None:
-        super().__init__(server, **options)
+        super().__init__(server, server.connection_register, **options)
         self._caller_server = server
         self._queue: collections.deque[CallerRequest] = collections.deque()
-        self._is_reading = False
-        # Body of the request that ends the connection; ``None`` before it.
-        self._last_body: streams.StreamReader | None = None
         # ``None`` once bytes have arrived.
         self._opened_s: float | None = server.clock.now()
 
@@ -127,56 +128,29 @@
         """
         waiter = self._waiter
         is_waiting = waiter is not None and not waiter.done()
-        if not is_waiting or self._is_reading:
+        if not is_waiting or self.is_reading:
             return False
         if self._opened_s is not None and (
             now - self._opened_s < NEW_CONNECTION_WAIT_S
         ):
             return False
-        return not self._has_unread()
-
-    def _has_unread(self) -> bool:
-        """Tell whether bytes have arrived that were not read yet."""
-        if self.transport is None:
-            return False
-        connection = self.transport.get_extra_info("socket")
-        if connection is None or connection.fileno() < 0:
-            return False
-        return has_arrived(connection.fileno())
+        return not self.has_unread()
 
     def data_received(self, data: bytes) -> None:
-        """Note when requests arrive, and begin those that have to wait.
-
-        The parser drops the requests that it has read from the same bytes
-        when it finds an error, so it is given one head at a time.
-        """
-        for part in _split_behind_heads(data):
-            if not self._has_read_last():
-                self._receive_part(part)
+        """Begin the requests that have arrived and have to wait."""
+        if data:
+            self._opened_s = None
+        super().data_received(data)
         self._begin_waiting()
 
-    def _has_read_last(self) -> bool:
-        """Tell whether the last request has arrived with its whole body."""
-        return self._last_body is not None and self._last_body.is_eof()
-
-    def _receive_part(self, data: bytes) -> None:
+    def _parse(self, part: bytes) -> None:
+        """Note which requests the parser found."""
         known = len(self._messages)
-        super().data_received(data)
-        arrived = list(self._messages)[known:]
-        if data:
-            self._is_reading = not arrived and not self._request_in_progress
+        super()._parse(part)
         now = self._caller_server.clock.now()
-        if data:
-            self._opened_s = None
-        for message, payload in arrived:
+        for message, payload in list(self._messages)[known:]:
             if isinstance(message, web_protocol._ErrInfo):
-                self._last_body = streams.EMPTY_PAYLOAD
-                return
-            if self._last_body is not None:
-                # Behind the last request; its answer closes the connection.
                 return
-            if message.should_close:
-                self._last_body = payload
             self._queue.append(
                 CallerRequest(self._make_request(message, payload), now)
             )
@@ -214,7 +188,7 @@
         message: str | None = None,
     ) -> web.StreamResponse:
         """Answer with a code; bytes of the request are not repeated."""
-        code = "request_malformed" if status == 400 else "internal"
+        code = ERROR_CODES.get(status, "internal")
         _log.notice("refused", status=status, code=code, error=_name(exc))
         response = web.Response(
             status=status,
@@ -242,7 +216,6 @@
             self._queue[0].request._message is request._message
         ):
             return self._queue.popleft()
-        # Requests that follow a declined upgrade are not seen as they arrive.
         return CallerRequest(request, self._caller_server.clock.now())
 
     def _begin_waiting(self) -> None:
@@ -266,12 +239,13 @@
                 )
 
 
-class CallerServer(web.Server):
+class CallerServer(connections.InboundServer):
     """Serves the connections of callers.
 
     Args:
         handle: Gives each request one answer.
         clock: Source of the present time.
+        connection_register: Limits the connections.
         options: Options of aiohttp's connections.
 
     Attributes:
@@ -283,10 +257,12 @@
         self,
         handle: Callable[[CallerRequest], Coroutine[Any, Any, web.Response]],
         clock: clocks.Clock,
+        connection_register: register.ConnectionRegister,
         **options: Any,
     ) -> None:
         super().__init__(
             _answer_next,
+            connection_register,
             handler_cancellation=True,
             access_log=None,
             auto_decompress=False,
@@ -314,20 +290,6 @@
         return len(self.connections)
 
 
-def has_arrived(descriptor: int) -> bool:
-    """Tell whether bytes, or a new connection, wait at a socket."""
-    poll = select.poll()
-    poll.register(descriptor, select.POLLIN)
-    return bool(poll.poll(0))
-
-
-def _split_behind_heads(data: bytes) -> list[bytes]:
-    """Split received bytes behind each end of a head that they may hold."""
-    parts = data.split(HEAD_END)
-    ended = [part + HEAD_END for part in parts[:-1]]
-    return [*ended, parts[-1]] if parts[-1] or not ended else ended
-
-
 async def _answer_next(request: web.BaseRequest) -> web.Response:
     connection = request.protocol
     assert isinstance(connection, CallerConnection)
--- a/src/cowslipshift/edge/handler.py
+++ b/src/cowslipshift/edge/handler.py
@@ -29,8 +29,6 @@
 """How long a host that leaves takes requests that may not end in time. Callers
 learn within that time that it leaves."""
 
-MAX_URL_BYTES = 16_384
-
 
 class RequestHandler:
     """Handles callers' requests and gives each of them one answer.
--- a/src/cowslipshift/edge/service.py
+++ b/src/cowslipshift/edge/service.py
@@ -23,6 +23,7 @@
 from cowslipshift.edge import gossip as gossips
 from cowslipshift.edge import handler as handlers
 from cowslipshift.edge import heartbeats
+from cowslipshift.edge import listeners
 from cowslipshift.edge import logevents
 from cowslipshift.edge import messages
 from cowslipshift.edge import metrics as metric
@@ -31,6 +32,7 @@
 from cowslipshift.edge import rolloutcontroller
 from cowslipshift.edge import upstream
 from cowslipshift.edge import watcher as watchers
+from cowslipshift.inbound import connections as inbound_connections
 from cowslipshift.platform import ingress
 from cowslipshift.platform import names
 from cowslipshift.platform import settings as platform_settings
@@ -74,10 +76,6 @@
 
 CLOSE_TIMEOUT_S = 0.1
 DRAIN_POLL_INTERVAL_S = 0.05
-IDLE_CONNECTION_S = 75.0
-"""Longer than callers keep connections idle, so that none is closed while a
-request arrives on it."""
-
 BACKLOG = 512
 MS_PER_S = 1000.0
 INCARNATIONS_PER_MS = 1000
@@ -101,6 +99,9 @@
         self._is_leaving = False
         self._assemble()
         await self._open_gossip_socket()
+        self._inbound = listeners.Listeners(
+            self._clock, self.settings.limits.max_fds
+        )
         await self._listen_internal()
         await self._listen_callers()
         self._supervisor.start(self._watcher.run)
@@ -161,7 +162,9 @@
         loop = asyncio.get_running_loop()
         until_s = loop.time() + ACCEPT_WAITING_S
         descriptor = self._caller_socket.fileno()
-        while loop.time() < until_s and callers.has_arrived(descriptor):
+        while loop.time() < until_s and inbound_connections.has_arrived(
+            descriptor
+        ):
             await asyncio.sleep(0)
 
     async def abort(self) -> None:
@@ -301,9 +304,7 @@
         self._caller_server = callers.CallerServer(
             self._handler.handle,
             self._clock,
-            keepalive_timeout=IDLE_CONNECTION_S,
-            max_line_size=handlers.MAX_URL_BYTES,
-            max_field_size=handlers.MAX_URL_BYTES,
+            self._inbound.callers,
         )
         self._caller_runner = web.ServerRunner(
             self._caller_server, shutdown_timeout=CLOSE_TIMEOUT_S
@@ -320,8 +321,10 @@
     async def _listen(
         self, application: web.Application, address: str
     ) -> None:
-        runner = web.AppRunner(
-            application, access_log=None, shutdown_timeout=CLOSE_TIMEOUT_S
+        runner = inbound_connections.InboundRunner(
+            application,
+            self._inbound.others,
+            shutdown_timeout=CLOSE_TIMEOUT_S,
         )
         await self._run_site(runner, address)
 
@@ -462,6 +465,7 @@
                     stood_s=suspended_s - last_suspended_s,
                 )
                 self._watcher.request_reread()
+            self._inbound.tick(self._balancer.configuration)
             self._balancer.refill_budgets(passed_s)
             for service in self._balancer.count_lost_answers(now):
                 self._log.warn("version_condemned", service=service)
--- /dev/null
+++ b/src/cowslipshift/inbound/__init__.py
@@ -0,0 +1,4 @@
+"""Connections that others open to this process, and what they may send.
+
+The same limits hold on all ports, before a parser keeps anything.
+"""
--- a/src/cowslipshift/platform/settings.py
+++ b/src/cowslipshift/platform/settings.py
@@ -47,9 +47,11 @@
 
     Attributes:
         link_mbps: Bandwidth of its link, in Mbit/s; 0 if unknown.
+        max_fds: Descriptors that a process may open; 0 if unknown.
     """
 
     link_mbps: float = 0.0
+    max_fds: int = 0
 
 
 class Bounds(msgspec.Struct, frozen=True):
--- a/tests/edge/test_framings.py
+++ b/tests/edge/test_framings.py
@@ -154,3 +154,41 @@
     for number in range(SEQUENCES):
         await play(fleet, draw, f"{seed}-{number}")
     assert all(host._handler.in_flight == 0 for host in fleet.hosts)
+
+
+FULL_HEAD = "".join(f"X-{n}: {'a' * 3900}\r\n" for n in range(4))
+"""With the other headers, close to the limit of the configuration."""
+
+
+@pytest.mark.parametrize("blanks", [b"", b"\r\n" * 3])
+@pytest.mark.parametrize(
+    ("extra", "step"),
+    [("", 1), ("", 7), (FULL_HEAD, 61), (FULL_HEAD, 4096), (FULL_HEAD, 10**6)],
+    ids=["1", "7", "full 61", "full 4096", "full at once"],
+)
+async def test_single_request_within_the_limits_is_served_in_any_split(
+    fleet, extra, blanks, step
+) -> None:
+    request = blanks + rawcaller.build_request(
+        "r",
+        is_write=True,
+        body=b"\r\n\r\nGET / HTTP/1.1\r\n\r\n",
+        extra=extra,
+        is_chunked=True,
+        deadline_ms="20000",
+    )
+    async with rawcaller.RawCaller(fleet.hosts[0]) as caller:
+        for start in range(0, len(request), step):
+            caller.send(request[start : start + step])
+            await asyncio.sleep(0)
+        answer = await caller.read_answer()
+    assert (answer.status, answer.request_id) == (200, "r")
+
+
+async def test_head_with_many_lines_is_parsed(fleet) -> None:
+    lines = "".join(f"a{n}:\r\n" for n in range(1000))
+    head = f"GET /lost HTTP/1.1\r\nHost: x\r\n{lines}\r\n"
+    async with rawcaller.RawCaller(fleet.hosts[0]) as caller:
+        caller.send(head.encode(), rawcaller.build_request("r"))
+        assert (await caller.read_answer()).status == 404
+        assert (await caller.read_answer()).status == 200
