--- a/src/cowslipshift/edge/handler.py
+++ b/src/cowslipshift/edge/handler.py
@@ -30,8 +30,6 @@
 """How long a host that leaves takes requests that may not end in time. Callers
 learn within that time that it leaves."""
 
-MAX_URL_BYTES = 16_384
-
 NOT_RUN_STATUS = 503
 """Status of refusals of admitted requests that no server has run."""
 
