Decide and run the usage reports of one host for all

Cause: the platform wants a report for each window; nobody sent one. Change: duties/ decides (counts, collection, tenure, reporting) and knows neither network nor names of the platform; platform/duties holds entries and calls; edge/usagereports runs them where the settings' [cloud] lists usage_report; attempts count when they are sent. A stateful test plays hosts against an oracle of every executed call.

--- a/src/cowslipshift/clock.py
+++ b/src/cowslipshift/clock.py
@@ -28,3 +28,13 @@
     def wall(self) -> float:
         """Return Unix seconds."""
         return time.time()
+
+
+class ElapsedClock(SystemClock):
+    """A clock that also counts the time for which the machine is suspended."""
+
+    __slots__ = ()
+
+    def now(self) -> float:
+        """Return monotonic seconds, suspensions included."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
--- a/src/cowslipshift/edge/attempts.py
+++ b/src/cowslipshift/edge/attempts.py
@@ -17,6 +17,7 @@
     from collections.abc import Mapping
 
     from cowslipshift import clock as clocks
+    from cowslipshift.duties import counts as usage_counts
     from cowslipshift.edge import metrics as metric
 
 MIN_ATTEMPT_TIME_S = 0.02
@@ -61,9 +62,11 @@
         balancer: Chooses a backend server for each attempt.
         client: Sends requests to backend servers.
         metrics: Metrics of the host.
+        usage: Counts attempts for the usage reports; ``None`` if nobody
+            wants them.
     """
 
-    __slots__ = ("client", "clock", "balancer", "metrics")
+    __slots__ = ("client", "clock", "balancer", "metrics", "usage")
 
     def __init__(
         self,
@@ -71,11 +74,13 @@
         balancer: balancers.Balancer,
         client: upstream.UpstreamClient,
         metrics: metric.EdgeMetrics,
+        usage: usage_counts.UsageCounter | None = None,
     ) -> None:
         self.clock = clock
         self.balancer = balancer
         self.client = client
         self.metrics = metrics
+        self.usage = usage
 
 
 class Attempts:
@@ -178,6 +183,7 @@
             call.account.name if call.account is not None else None,
         )
         state.in_flight += 1
+        counted = self._count_start()
         try:
             answer = await deps.client.send(
                 entry.address,
@@ -189,6 +195,7 @@
                 self._is_own_answer,
             )
         except exceptions.NotSentError as error:
+            self._cancel_start(counted)
             self._connect_failures += 1
             self._record_failure(choice, error, is_down=True)
             deps.balancer.record_gone_server(call, choice, deps.clock.now())
@@ -206,13 +213,26 @@
         finally:
             state.in_flight -= 1
         answer.took_s = deps.clock.now() - now
-        return self._evaluate(choice, answer)
+        return self._evaluate(choice, answer, counted)
+
+    def _count_start(self) -> int:
+        """Count an attempt; return the window that it counts for."""
+        account, usage = self._call.account, self._deps.usage
+        if usage is None or account is None:
+            return 0
+        return usage.record_start(account.name, self._deps.clock.wall())
+
+    def _cancel_start(self, window: int) -> None:
+        """Take back an attempt that has not run."""
+        account, usage = self._call.account, self._deps.usage
+        if usage is not None and account is not None:
+            usage.cancel_start(account.name, window)
 
     def _is_own_answer(self, headers: Mapping[str, str]) -> bool:
         return ingress.is_answer_to(self._request_headers.id, headers)
 
     def _evaluate(
-        self, choice: calls.Choice, answer: upstream.Answer
+        self, choice: calls.Choice, answer: upstream.Answer, counted: int
     ) -> web.Response | None:
         call, deps = self._call, self._deps
         state, now = choice.state, deps.clock.now()
@@ -231,6 +251,7 @@
             self._reject_answer(choice, "contradictory answer")
             return None
         if answer_headers.has_not_run:
+            self._cancel_start(counted)
             self._record_shed(choice, answer.status, answer_headers.is_stated)
             if answer_headers.is_other_server:
                 deps.balancer.record_gone_server(call, choice, now)
--- a/src/cowslipshift/edge/metrics.py
+++ b/src/cowslipshift/edge/metrics.py
@@ -38,6 +38,8 @@
                 ("cowslipshift_store_calls_total", "Calls of the store."),
                 ("cowslipshift_peer_bytes_total", "Bytes between hosts."),
                 ("cowslipshift_fetches_total", "Changes asked of hosts."),
+                ("cowslipshift_usage_calls_total", "Usage reports sent."),
+                ("cowslipshift_duty_turns_total", "Turns at the duty."),
             )
         }
         self._gauges = {
@@ -121,6 +123,14 @@
         self._add("cowslipshift_fetches_total", outcome=outcome)
         self._add("cowslipshift_peer_bytes_total", size, direction="fetched")
 
+    def count_usage_call(self, outcome: str) -> None:
+        """Count a call with a usage report."""
+        self._add("cowslipshift_usage_calls_total", outcome=outcome)
+
+    def count_duty_turn(self, event: str) -> None:
+        """Count that this host took the duty, or lost it."""
+        self._add("cowslipshift_duty_turns_total", event=event)
+
     def set_replica_state(
         self, revision: int, version: int, behind_s: float, age_s: float
     ) -> None:
--- a/src/cowslipshift/edge/peerclient.py
+++ b/src/cowslipshift/edge/peerclient.py
@@ -9,10 +9,13 @@
 from cowslipshift import bodies
 from cowslipshift.edge import exceptions
 from cowslipshift.edge import messages
+from cowslipshift.edge import usagemessages
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from cowslipshift.duties import collection
+
 PEER_TIMEOUT_S = 0.6
 
 
@@ -48,10 +51,33 @@
         Raises:
             PeerError: The other host gave no valid answer in time.
         """
+        raw = await self._fetch(
+            f"http://{address}/changes", {"after": str(after)}
+        )
+        return messages.decode_changes(raw)
+
+    async def fetch_counts(
+        self, address: str, first: int
+    ) -> collection.HostCounts:
+        """Fetch the requests that another host has counted.
+
+        Args:
+            address: ``ip:port`` of the other host.
+            first: First window to fetch.
+
+        Raises:
+            PeerError: The other host gave no valid answer in time.
+        """
+        raw = await self._fetch(
+            f"http://{address}/usage", {"first": str(first)}
+        )
+        return usagemessages.decode_counts(raw)
+
+    async def _fetch(self, url: str, params: dict[str, str]) -> bytes:
         try:
             async with self._session.get(
-                f"http://{address}/changes",
-                params={"after": str(after)},
+                url,
+                params=params,
                 timeout=aiohttp.ClientTimeout(total=PEER_TIMEOUT_S),
             ) as response:
                 raw = await bodies.read_body(
@@ -66,4 +92,4 @@
             raise exceptions.PeerError(
                 f"another host answered with status {status}"
             )
-        return messages.decode_changes(raw)
+        return raw
--- a/src/cowslipshift/edge/service.py
+++ b/src/cowslipshift/edge/service.py
@@ -30,6 +30,8 @@
 from cowslipshift.edge import registration
 from cowslipshift.edge import rolloutcontroller
 from cowslipshift.edge import upstream
+from cowslipshift.edge import usagemessages
+from cowslipshift.edge import usagereports
 from cowslipshift.edge import watcher as watchers
 from cowslipshift.platform import ingress
 from cowslipshift.platform import names
@@ -107,6 +109,10 @@
         self._supervisor.start(self._registration.run)
         self._supervisor.start(self._run_ticks)
         self._supervisor.start(self._run_rollout_evaluation)
+        if self._usage is not None:
+            self._supervisor.start(self._usage.run_tenure)
+            self._supervisor.start(self._usage.run_collection)
+            self._supervisor.start(self._usage.run_reports)
         self._log.info(
             "started",
             front=self.settings.listen.front,
@@ -131,6 +137,8 @@
         )
         self._heartbeats.is_leaving = True
         self._heartbeats.send(self._clock.now(), is_urgent=True)
+        if self._usage is not None:
+            self._supervisor.start(self._usage.stop)
         await asyncio.sleep(
             min(ACCEPT_WHILE_LEAVING_S, self.bounds.grace_s / 2)
         )
@@ -235,10 +243,18 @@
             self._metrics.count_store_call,
             budget,
         )
+        peers = peerclient.PeerClient(
+            self._session, self._metrics.count_fetch, budget
+        )
+        counter = usagereports.open_counter(settings, self.bounds)
         self._client = upstream.UpstreamClient(self._balancer.record_connect)
         self._handler = handlers.RequestHandler(
             attempts.Dependencies(
-                self._clock, self._balancer, self._client, self._metrics
+                self._clock,
+                self._balancer,
+                self._client,
+                self._metrics,
+                counter,
             ),
             self._send_urgent,
         )
@@ -247,9 +263,7 @@
             self._store,
             self._membership,
             overlay,
-            peerclient.PeerClient(
-                self._session, self._metrics.count_fetch, budget
-            ),
+            peers,
             self._apply_item,
             self._record_store_outage,
             self._send_revision,
@@ -260,6 +274,21 @@
         self._registration = registration.HostRegistration(
             self._own, self._store, self._watcher
         )
+        self._usage = usagereports.assemble_reports(
+            settings,
+            self.bounds,
+            usagereports.Dependencies(
+                self._clock,
+                clocks.ElapsedClock(),
+                self._membership,
+                self._watcher,
+                self._store,
+                self._session,
+                peers,
+                counter,
+                self._metrics,
+            ),
+        )
         self._rollout_controller = rolloutcontroller.RolloutController(
             self._clock, self._balancer, self._store, self._watcher
         )
@@ -287,6 +316,8 @@
         application = web.Application()
         application.router.add_get("/changes", self._serve_changes)
         application.router.add_get("/metrics", self._serve_metrics)
+        if self._usage is not None:
+            application.router.add_get("/usage", self._serve_counts)
         await self._listen(application, self._own.internal_address)
 
     async def _listen_callers(self) -> None:
@@ -373,6 +404,16 @@
         found = self._watcher.replica.list_changes(after)
         return web.Response(body=messages.encode_changes(found))
 
+    async def _serve_counts(self, request: web.Request) -> web.Response:
+        try:
+            first = int(request.query.get("first", "0"))
+        except ValueError:
+            return web.Response(status=400)
+        if self._usage is None:
+            return web.Response(status=404)
+        counted = self._usage.list_counts(first)
+        return web.Response(body=usagemessages.encode_counts(counted))
+
     async def _serve_metrics(self, request: web.Request) -> web.Response:
         now = self._clock.now()
         self._metrics.set_replica_state(
@@ -402,6 +443,10 @@
 
     def _apply_translated(self, item: interface.Item) -> bool:
         now = self._clock.now()
+        if item.key.startswith(names.DUTY_PREFIX):
+            if self._usage is not None:
+                self._usage.record_item(item)
+            return False
         try:
             change = translation.translate_item(item)
         except base_exceptions.CowslipshiftError as error:
--- a/src/cowslipshift/platform/settings.py
+++ b/src/cowslipshift/platform/settings.py
@@ -42,6 +42,20 @@
     min_ttl_ms: int = 1000
 
 
+class DutyAddress(msgspec.Struct, frozen=True):
+    """Where the platform takes calls that are one host's duty.
+
+    Attributes:
+        address: Its ``ip:port``.
+        duties: Names of the duties that it expects to be done.
+        duty_per_s: Calls that it accepts a second, of all hosts together.
+    """
+
+    address: str
+    duties: tuple[str, ...] = ()
+    duty_per_s: float = 10.0
+
+
 class MachineLimits(msgspec.Struct, frozen=True):
     """What a machine grants its processes.
 
@@ -71,6 +85,10 @@
     cold_slack: float = 5.0
     contact_ms: int = 3000
     ttl_max_s: float = 5.0
+    require_fencing: bool = True
+    lease_ms: int = 3000
+    report_window_s: float = 5.0
+    usage_late_s: float = 10.0
 
 
 class HostSettings(msgspec.Struct, frozen=True):
@@ -81,6 +99,7 @@
             first, HTTP the port after it.
         zones: Region by data centre.
         bounds: Overrides of `Bounds`, each ``name=value``.
+        cloud: Table of the duties; `find_duties` reads it.
     """
 
     node_name: str
@@ -95,6 +114,20 @@
     heartbeat_ms: int = 1500
     bootstrap: bool = False
     bounds: tuple[str, ...] = ()
+    cloud: object = None
+
+    def find_duties(self) -> DutyAddress | None:
+        """Return where the host's duties are called.
+
+        Returns:
+            ``None`` if there is no such table, also if there is something
+            else in its place: deployments without duties may have one that
+            is empty.
+        """
+        try:
+            return msgspec.convert(self.cloud, DutyAddress)
+        except msgspec.ValidationError:
+            return None
 
 
 def read_settings(
--- a/src/cowslipshift/platform/store.py
+++ b/src/cowslipshift/platform/store.py
@@ -50,6 +50,10 @@
     lease: int
 
 
+class _Written(msgspec.Struct):
+    rev: int
+
+
 class PlatformStore:
     """Client of the platform's store; implements `RevisionedStore`.
 
@@ -126,6 +130,37 @@
         lease: int = 0,
     ) -> bool:
         """Write keys by compare-and-swap, all or none."""
+        status, _ = await self._transact(
+            expected, {key: (value, lease) for key, value in writes.items()}
+        )
+        return status == 200
+
+    async def write_leased_items(
+        self,
+        expected: Mapping[str, int],
+        writes: Mapping[str, tuple[bytes, int]],
+    ) -> int | None:
+        """Write keys by compare-and-swap, each under a lease of its own.
+
+        Args:
+            expected: Expected revision by key; 0 for a key that must not
+                exist.
+            writes: New value and lease by key; 0 for no lease.
+
+        Returns:
+            Store revision of the writes; ``None`` if they were not executed.
+        """
+        status, raw = await self._transact(expected, writes)
+        if status != 200:
+            return None
+        revision: int = _decode(raw, _Written).rev
+        return revision
+
+    async def _transact(
+        self,
+        expected: Mapping[str, int],
+        writes: Mapping[str, tuple[bytes, int]],
+    ) -> tuple[int, bytes]:
         body = {
             "expected": [{"key": k, "rev": r} for k, r in expected.items()],
             "writes": [
@@ -134,14 +169,13 @@
                     "value": base64.b64encode(value).decode(),
                     "lease": lease,
                 }
-                for key, value in writes.items()
+                for key, (value, lease) in writes.items()
             ],
             "deletes": [],
         }
-        status, _ = await self._call(
+        return await self._call(
             "POST", names.TXN_PATH, body=body, allowed=(200, 404, 412)
         )
-        return status == 200
 
     async def grant_lease(self, ttl_s: float) -> int:
         """Create a lease and return its id."""
