Read the duty's entries after they were taken; test with real processes

Cause: the writes of one transaction may have revisions of their own, so that the record was expected at a wrong one and no report was ever fixed (seen with the stand-in of the store). Change: a host that took the duty reads both entries before it acts; the fuzz machine's store gives each write a revision too.

--- a/src/cowslipshift/duties/tenure.py
+++ b/src/cowslipshift/duties/tenure.py
@@ -158,24 +158,23 @@
             self._needs_read = True
             self._retry_s = now + RETRY_DELAY_S
             return
-        expected = write.expected
+        if write.is_take:
+            # Each entry has a revision of its own.
+            self._needs_read = True
+            self._retry_s = now
+            return
         self.record_state(
-            model.DutyState(
-                write.record.holder if write.is_take else expected.holder,
-                revision if write.is_take else expected.holder_revision,
-                revision if write.is_take else expected.holder_seen,
-                write.record,
-                revision,
-            ),
+            model.DutyState(record=write.record, record_revision=revision),
             now,
         )
-        if write.is_take and self._is_own(self.state.holder):
-            self._begin(write.record.holder.token, now)
 
     def record_read(self, state: model.DutyState, now: float) -> None:
         """Record both entries as they were read from the store."""
         self._needs_read = False
         self.record_state(state, now)
+        holder = self.state.holder
+        if not self.token and holder and self._is_own(holder):
+            self._begin(holder.token, now)
 
     def record_unanswered(self, action: actions.Action, now: float) -> None:
         """Record a call without an answer, which may have been executed."""
--- a/src/cowslipshift/standins/platformfleet.py
+++ b/src/cowslipshift/standins/platformfleet.py
@@ -17,6 +17,7 @@
 from cowslipshift.platform import names
 from cowslipshift.platform import settings as platform_settings
 from cowslipshift.standins import platformbackend
+from cowslipshift.standins import platformduties
 from cowslipshift.standins import platformstore
 from cowslipshift.standins import portreservations
 
@@ -118,6 +119,7 @@
     def __init__(self, hosts: int = 1, backends: int = 2) -> None:
         self._clock = clocks.SystemClock()
         self.store = platformstore.PlatformStoreStandIn(self._clock)
+        self.duties = platformduties.PlatformDutiesStandIn()
         self.backends: dict[str, platformbackend.PlatformBackendStandIn] = {}
         self.hosts: list[edge_service.EdgeService] = []
         self.backend_addresses: dict[str, str] = {}
@@ -175,6 +177,10 @@
         """Serve the store on another port and return the address."""
         return await self._serve(self.store.build_application())
 
+    async def open_duties_port(self) -> str:
+        """Serve the calls of duties and return the address."""
+        return await self._serve(self.duties.build_application())
+
     def update_backend_state(
         self, identity: str, state: str, version: str = "v1"
     ) -> None:
--- a/tests/edge/daemons.py
+++ b/tests/edge/daemons.py
@@ -21,7 +21,7 @@
 internal_ports = [{port}, {port}]
 bootstrap = true
 later_field = "ignored"
-bounds = ["grace_s=2.0", "quota_window_s=5", "unknown_bound=1"]
+bounds = ["grace_s=2.0", "quota_window_s=5", "unknown_bound=1"{bounds}]
 [zones]
 north-a = "north"
 south-a = "south"
@@ -31,15 +31,22 @@
 directory = "127.0.0.1:{directory}"
 [platform]
 address = "{store}"
+{tables}
 """
 
 
 class Daemon:
-    """One host process."""
+    """One host process.
+
+    Attributes:
+        bounds: More entries of the bounds, each with a comma before it.
+        tables: More tables of the settings.
+    """
 
     def __init__(self, fleet: platformfleet.PlatformFleet) -> None:
         self.fleet = fleet
         self.front = ""
+        self.bounds = self.tables = ""
         self.log = pathlib.Path()
         self.process: asyncio.subprocess.Process | None = None
 
@@ -61,6 +68,8 @@
                 ready=ports[3],
                 directory=ports[4],
                 store=store,
+                bounds=self.bounds,
+                tables=self.tables,
             )
         )
         self.log = folder / f"{name}.log"
--- a/tests/fuzz/dutyworld.py
+++ b/tests/fuzz/dutyworld.py
@@ -117,9 +117,10 @@
         rev = self._revision
         change = model.DutyState(record=record, record_revision=rev)
         if write.is_take:
-            change = model.DutyState(record.holder, rev, rev, record, rev)
+            self._revision = last = rev + 1
+            change = model.DutyState(record.holder, last, last, record, rev)
         self.apply(change)
-        return rev
+        return self._revision
 
 
 class Host:
