--- a/src/cowslipshift/duties/tenure.py
+++ b/src/cowslipshift/duties/tenure.py
@@ -200,13 +200,11 @@
             return actions.RenewLease(self._lease) if is_taken else None
         if self._vacant_since_s is None:
             return None
-        due_s = max(
-            self._vacant_since_s + rank * RANK_STEP_S, self._earliest_take_s
-        )
+        due_s = max(self._vacant_since_s, self._earliest_take_s)
         if state.record is not None and self._host in state.record.former:
             rest_s = RETURN_LEASES * self._policy.lease_s + LATE_CALL_S
             due_s = max(due_s, self._token_seen_s + rest_s)
-        if now < due_s:
+        if now < due_s + rank * RANK_STEP_S:
             return None
         if not self._lease or now >= self._until_s:
             return actions.GrantLease(self._policy.lease_s)
