--- a/src/cowslipshift/duties/tenure.py
+++ b/src/cowslipshift/duties/tenure.py
@@ -20,7 +20,7 @@
 """Time by which the next candidate tries later: a change takes about as long
 to reach the other hosts."""
 
-LATE_CALL_S = 5.0
+LATE_CALL_S = 12.0
 """A call without an answer may be executed this much later."""
 
 RETURN_LEASES = 2.0
