Forget which old usage reports were accepted

Cause: the set of accepted windows grew by one with each window. Change: windows that no record can hold any more are dropped when the next one is fixed. Measured: tests/duties and the planted faults of tests/fuzz/test_duties_machine pass.

--- a/src/cowslipshift/duties/reporting.py
+++ b/src/cowslipshift/duties/reporting.py
@@ -79,6 +79,11 @@
             hosts, settled_s
         ):
             return None
+        self._accepted = {
+            accepted
+            for accepted in self._accepted
+            if accepted >= window - MAX_REPORTS
+        }
         report = model.UsageReport(window, self.collected.sum_counts(window))
         return msgspec.structs.replace(
             record,
