Test counts, tenures and settings of the usage reports

Change: tests without a network, and one that the oracle of the fuzz machine sees holders that alternate.

--- a/tests/fuzz/test_duties_machine.py
+++ b/tests/fuzz/test_duties_machine.py
@@ -261,3 +261,12 @@
     assert windows[0] == first
     assert windows == list(range(first, windows[-1] + 1))
     assert windows[-1] >= last
+
+
+def test_oracle_sees_holders_that_alternate() -> None:
+    platform = dutyworld.Platform(policies.DutyPolicy())
+    report = model.UsageReport(1, {"a": 1})
+    platform.execute(0.0, "h1", 1, report)
+    platform.execute(1.0, "h2", 2, report)
+    with pytest.raises(AssertionError):
+        platform.execute(2.0, "h1", 3, report)
