Count descriptors behind an ordinary request in the test of slow readers

Cause: at the front the test counted descriptors before its ordinary request, which opens a connection to a backend server that is kept: 23 before, 24 after, the one more leading to the server's port; all connections of the crowd were closed. Change: one ordinary request comes first; crowd, bound and checks are as they were.

--- a/tests/doors/test_doors.py
+++ b/tests/doors/test_doors.py
@@ -127,6 +127,8 @@
 
 @pytest.mark.parametrize("attacked", PLATFORM_PORTS, indirect=True)
 async def test_callers_that_never_read_are_closed(attacked) -> None:
+    # The connection that it opens to a backend server is kept for others.
+    await check_ordinary(attacked)
     before = crowds.measure(attacked.pid)
     request = f"GET {attacked.path} HTTP/1.1\r\nHost: x\r\n\r\n".encode()
     row = crowds.Kind(request, request)
