Close behind an answer a body that is mostly framing

Change: a body that nobody wants is also too large when the bytes around its chunks exceed a quarter of its limit; bodies that a request wants are as before.

--- a/src/cowslipshift/inbound/connections.py
+++ b/src/cowslipshift/inbound/connections.py
@@ -263,7 +263,7 @@
     def _is_body_too_large(self) -> bool:
         """Whether a body that nobody reads any more exceeds its limit."""
         return (
-            self._framing.is_body_too_large
+            self._framing.is_too_large_unwanted
             and not self._messages
             and not self._request_in_progress
         )
--- a/src/cowslipshift/inbound/framing.py
+++ b/src/cowslipshift/inbound/framing.py
@@ -15,6 +15,10 @@
 if TYPE_CHECKING:
     from cowslipshift.inbound import limits as inbound_limits
 
+MAX_UNWANTED_FRAMING_FRACTION = 0.25
+"""Bytes around the chunks of a body that nobody wants, as a fraction of the
+limit of the body."""
+
 MAX_FRAMING_RATIO = 8
 """Bytes around each byte of a body in chunks; five if they have one each."""
 
@@ -215,3 +219,9 @@
     def is_body_too_large(self) -> bool:
         """Whether the body that is being read exceeds its limit."""
         return self._body_bytes > self.limits.body_bytes
+
+    @property
+    def is_too_large_unwanted(self) -> bool:
+        """Whether it is too large to be read for nobody."""
+        max_framing = MAX_UNWANTED_FRAMING_FRACTION * self.limits.body_bytes
+        return self.is_body_too_large or self._framing_bytes > max_framing
--- a/tests/inbound/test_framing.py
+++ b/tests/inbound/test_framing.py
@@ -126,3 +126,12 @@
     assert not splitter.is_body_too_large
     splitter.take(b"1\r\na\r\n")
     assert splitter.is_body_too_large
+
+
+def test_body_that_nobody_wants_may_not_be_mostly_framing() -> None:
+    splitter = framing.RequestFraming(LIMITS)
+    splitter.take(b"POST\r\n\r\n")
+    splitter.begin_body(None)
+    assert not splitter.is_too_large_unwanted
+    feed_endless(splitter, b"1\r\na\r\n", 2000)
+    assert splitter.is_too_large_unwanted
