Explain refusals for more urgent requests

Cause: explain had only its general sentence for them. Measured: tests/telemetry pass; before, the share was not in the sentence.

--- a/src/cowslipshift/telemetry/explanation.py
+++ b/src/cowslipshift/telemetry/explanation.py
@@ -147,6 +147,19 @@
             f"load of {_format(attempt, 'load')} on {attempt.get('slots')} "
             f"slots, reported {_format(attempt, 'load_age_ms')} ms before."
         )
+    if code == "urgency":
+        place = (
+            "its turn was expected when it was told to return"
+            if last.get("promised") == "True"
+            else "no room was expected in the time that the caller had left"
+        )
+        return code, (
+            f"Service {last.get('service')} had too little room: a share of "
+            f"{last.get('share', '?')} of the requests of its rank was "
+            f"admitted, and {place}. The best backend server, "
+            f"{last.get('backend')}, had a load of {_format(last, 'load')} on "
+            f"{last.get('slots')} slots. The request was not executed."
+        )
     if code in (
         "no_room",
         "no_backend",
