--- a/src/cowslipshift/admission/ranks.py
+++ b/src/cowslipshift/admission/ranks.py
@@ -46,8 +46,6 @@
             without missing their targets.
         admitted_fraction: Fraction of the service's requests that this host
             admitted lately.
-        admitted_fraction: Fraction of the service's requests that this host
-            admitted lately.
     """
 
     position: int
