Log the address and the connection of each attempt

Cause: the hypotheses of the incident with copied refusals cannot be told apart: no line says where a request was sent, over which connection, and what that had carried before. Change: an Exchange names the request to the connection that carries it and learns its number and how many requests it has carried; `answered`, `attempt_shed` and `attempt_failed` have `address`, `connection` and `carried`. No decision changes. Measured: tests of faulty servers, refusals, idle connections and the platform's path pass.

--- a/bench/answers.py
+++ b/bench/answers.py
@@ -182,6 +182,7 @@
             None,
             LIMIT_S,
             lambda headers: True,
+            connections.Exchange(f"r{number}"),
         )
         return str(answer.status)
 
--- a/src/cowslipshift/connections.py
+++ b/src/cowslipshift/connections.py
@@ -7,18 +7,23 @@
 
 from __future__ import annotations
 
+import contextlib
+import contextvars
 import functools
+import itertools
 from typing import Any
 from typing import TYPE_CHECKING
 
 import aiohttp
 from aiohttp import client_proto
+import msgspec
 
 from cowslipshift import statuses
 
 if TYPE_CHECKING:
     import asyncio
     from collections.abc import Callable
+    from collections.abc import Iterator
 
 
 FIRST_PART_BYTES = 4096
@@ -36,6 +41,38 @@
 
 MAX_INTERIM_ANSWERS = 32
 
+_numbers = itertools.count(1)
+
+
+class Exchange(msgspec.Struct):
+    """A request and the connection that carries it.
+
+    Attributes:
+        request_id: Id that the answer has to repeat.
+        connection: Number of the connection within this process; 0 as long
+            as there is none, so that no byte was sent.
+        carried: Requests that the connection carried before.
+    """
+
+    request_id: str
+    connection: int = 0
+    carried: int = 0
+
+
+_exchange: contextvars.ContextVar[Exchange | None] = contextvars.ContextVar(
+    "exchange", default=None
+)
+
+
+@contextlib.contextmanager
+def track(exchange: Exchange) -> Iterator[None]:
+    """Tell the connections which request is sent within the context."""
+    token = _exchange.set(exchange)
+    try:
+        yield
+    finally:
+        _exchange.reset(token)
+
 
 class GuardedConnection(client_proto.ResponseHandler):
     """A connection that limits what a peer may send, and when.
@@ -49,6 +86,8 @@
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
         super().__init__(loop)
+        self._number = next(_numbers)
+        self._requests = 0
         self._has_final_head = False
         self._deferred = b""
         self._part_bytes = FIRST_PART_BYTES
@@ -58,6 +97,11 @@
 
     def set_response_params(self, **params: Any) -> None:
         """Prepare for the answer to another request."""
+        exchange = _exchange.get()
+        if exchange is not None:
+            exchange.connection = self._number
+            exchange.carried = self._requests
+        self._requests += 1
         self._has_final_head = False
         self._parsed_bytes = 0
         self._interim_answers = 0
--- a/src/cowslipshift/edge/attempts.py
+++ b/src/cowslipshift/edge/attempts.py
@@ -6,6 +6,7 @@
 
 from aiohttp import web
 
+from cowslipshift import connections
 from cowslipshift.edge import exceptions
 from cowslipshift.edge import upstream
 from cowslipshift.platform import ingress
@@ -91,6 +92,7 @@
         "_body",
         "_call",
         "_deps",
+        "_exchange",
         "_last_answered",
         "_may_have_run",
         "_request",
@@ -113,6 +115,7 @@
         call.method = request.method
         call.body_bytes = len(body or b"")
         self._body = body
+        self._exchange = connections.Exchange(request_headers.id)
         self._sent = 0
         self._connect_failures = 0
         self._may_have_run = False
@@ -200,6 +203,7 @@
         )
         deps.balancer.record_sent(call, choice, now)
         counted = self._count_start()
+        self._exchange = connections.Exchange(self._request_headers.id)
         try:
             answer = await deps.client.send(
                 entry.address,
@@ -209,6 +213,7 @@
                 self._body,
                 left_s,
                 self._is_own_answer,
+                self._exchange,
             )
         except exceptions.NotSentError as error:
             self._cancel_start(counted)
@@ -322,6 +327,7 @@
             returned=call.has_returned,
             config=deps.balancer.version,
             **describe_choice(choice, now),
+            **self._describe_exchange(),
         )
         deps.metrics.count_answer(
             call.route, call.priority, answer.status, took_s
@@ -369,6 +375,7 @@
             reason=error.message,
             ejected=is_ejected,
             **describe_choice(choice, now),
+            **self._describe_exchange(),
         )
 
     def _record_shed(
@@ -384,8 +391,16 @@
             status=status,
             stated=is_stated,
             **describe_choice(choice, now),
+            **self._describe_exchange(),
         )
 
+    def _describe_exchange(self) -> dict[str, object]:
+        """Return the log fields of the connection of the last attempt."""
+        return {
+            "connection": self._exchange.connection,
+            "carried": self._exchange.carried,
+        }
+
     def _record_limit(
         self, choice: calls.Choice, server_limit: float | None
     ) -> None:
@@ -458,6 +473,7 @@
     }
     return {
         "backend": state.entry.id,
+        "address": state.entry.address,
         "version": state.entry.version,
         "data_centre": state.entry.data_centre,
         "position": choice.position,
--- a/src/cowslipshift/edge/upstream.py
+++ b/src/cowslipshift/edge/upstream.py
@@ -215,6 +215,7 @@
         body: bytes | None,
         timeout_s: float,
         is_own: Callable[[Mapping[str, str]], bool],
+        exchange: connections.Exchange,
     ) -> Answer:
         """Send a request and read the complete answer.
 
@@ -227,24 +228,27 @@
             timeout_s: Time limit for the complete answer.
             is_own: Tells by its headers whether an answer is one to this
                 request; what another one says is not believed.
+            exchange: Names the request, and is told its connection.
 
         Raises:
             NotSentError: No byte of the request was sent.
             ForeignAnswerError: An answer to another request arrived.
             AnswerLostError: The request may have run.
         """
-        url = yarl.URL(f"http://{address}{target}", encoded=True)
         sending = _Sending(address)
         try:
-            async with asyncio.timeout(timeout_s):
-                async with self._session.request(
-                    method,
-                    url,
-                    headers=headers,
-                    data=body,
-                    allow_redirects=False,
-                    trace_request_ctx=sending,
-                ) as response:
+            with connections.track(exchange):
+                async with (
+                    asyncio.timeout(timeout_s),
+                    self._session.request(
+                        method,
+                        yarl.URL(f"http://{address}{target}", encoded=True),
+                        headers=headers,
+                        data=body,
+                        allow_redirects=False,
+                        trace_request_ctx=sending,
+                    ) as response,
+                ):
                     if not is_own(response.headers):
                         response.close()
                         raise exceptions.ForeignAnswerError()
--- a/tests/edge/test_faulty_backends.py
+++ b/tests/edge/test_faulty_backends.py
@@ -12,6 +12,7 @@
 from tests.edge import faultyserver
 from tests.edge import rawcaller
 
+from cowslipshift import connections
 from cowslipshift.edge import exceptions
 from cowslipshift.edge import upstream
 from cowslipshift.platform import ingress
@@ -102,6 +103,7 @@
         None,
         TIMEOUT_S,
         lambda headers: ingress.is_answer_to(request_id, headers),
+        connections.Exchange(request_id),
     )
 
 
--- a/tests/edge/test_idle_connections.py
+++ b/tests/edge/test_idle_connections.py
@@ -4,10 +4,12 @@
 
 import asyncio
 import contextlib
+import uuid
 
 import pytest
 from tests.edge import faultyserver
 
+from cowslipshift import connections
 from cowslipshift.edge import exceptions
 from cowslipshift.edge import idlelimits
 from cowslipshift.edge import upstream
@@ -21,7 +23,14 @@
 
 async def send(client, server, timeout_s=2.0):
     return await client.send(
-        server.address, "GET", "/x", [("Host", "a")], None, timeout_s, accept
+        server.address,
+        "GET",
+        "/x",
+        [("Host", "a")],
+        None,
+        timeout_s,
+        accept,
+        connections.Exchange(uuid.uuid4().hex),
     )
 
 
--- a/tests/edge/test_upstream.py
+++ b/tests/edge/test_upstream.py
@@ -9,6 +9,7 @@
 import pytest
 
 from cowslipshift import bodies
+from cowslipshift import connections
 from cowslipshift.edge import exceptions
 from cowslipshift.edge import upstream
 
@@ -72,6 +73,7 @@
             None,
             DEADLINE_S,
             lambda headers: True,
+            connections.Exchange("r"),
         )
     assert not raised.value.is_timeout
     assert loop.time() - started_s < DEADLINE_S / 2
@@ -114,6 +116,7 @@
             None,
             DEADLINE_S,
             lambda headers: True,
+            connections.Exchange("r"),
         )
 
     first = asyncio.create_task(send())
@@ -165,6 +168,7 @@
                 b"order",
                 timeout_s,
                 lambda headers: True,
+                connections.Exchange("r"),
             )
     assert raised.value.is_late == (timeout_s < upstream.CONNECT_TIMEOUT_S)
     await client.close()
