Test copies of refusals on connections that carry a request again, red

Change: a server that writes the copy of its refusal where the answer to the next request is due; a request that goes to one address again, as the host's second attempt at another id or as the caller's repeat.

--- a/tests/edge/faultyserver.py
+++ b/tests/edge/faultyserver.py
@@ -27,12 +27,15 @@
     Attributes:
         delay_s: Time that it waits before it writes them.
         is_background: Whether it goes on without waiting for this step.
+        is_held: Whether it writes them only when another request has come
+            over the connection, where the answer to that one is due.
         ends: How the connection ends after them: "", "close" or "reset".
     """
 
     content: bytes
     delay_s: float = 0.0
     is_background: bool = False
+    is_held: bool = False
     ends: str = ""
 
 
@@ -45,6 +48,7 @@
 
     Attributes:
         request_ids: Ids of the requests, in the order of their arrival.
+        carriers: Number of the connection over which each of them came.
         connections: Connections that were opened.
     """
 
@@ -52,6 +56,7 @@
         self, script: Callable[[dict[str, str], int], list[Step]]
     ) -> None:
         self.request_ids: list[str] = []
+        self.carriers: list[int] = []
         self.connections = 0
         self.port = 0
         self._script = script
@@ -83,15 +88,24 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         self.connections += 1
+        carrier = self.connections
         self._writers.append(writer)
+        held: list[Step] = []
         with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
             while True:
                 headers = await _read_request(reader)
+                for step in held:
+                    await self._take(step, writer)
+                held = []
                 number = len(self.request_ids)
+                self.carriers.append(carrier)
                 self.request_ids.append(
                     headers.get(names.REQUEST_ID_HEADER.lower(), "")
                 )
                 for step in self._script(headers, number):
+                    if step.is_held:
+                        held.append(step)
+                        continue
                     if not step.is_background:
                         await self._take(step, writer)
                         continue
--- a/tests/edge/test_faulty_backends.py
+++ b/tests/edge/test_faulty_backends.py
@@ -127,6 +127,24 @@
     await client.close()
 
 
+# Guards against REFUSED and MIXED: an answer names a request that its
+# connection has carried twice, so that the id does not tell which one it
+# belongs to.
+async def test_connection_carries_no_id_twice() -> None:
+    def script(headers: dict[str, str], number: int) -> list[Step]:
+        request_id = headers.get(names.REQUEST_ID_HEADER.lower(), "")
+        return [Step(faultyserver.build_answer(request_id, b"x"))]
+
+    client = upstream.UpstreamClient()
+    async with faultyserver.FaultyServer(script) as server:
+        for request_id in ("r0", "r1", "r0", "", "r1", "", "r2"):
+            await send(client, server, request_id)
+        carried = list(zip(server.carriers, server.request_ids, strict=True))
+        assert len(set(carried)) == len(carried)
+        assert server.connections < len(carried)
+    await client.close()
+
+
 async def test_connection_with_unasked_bytes_is_not_used_again() -> None:
     def script(headers: dict[str, str], number: int) -> list[Step]:
         request_id = headers[names.REQUEST_ID_HEADER.lower()]
--- a/tests/edge/test_refusals.py
+++ b/tests/edge/test_refusals.py
@@ -26,6 +26,9 @@
 PROMISES = (408, 421, 429, 503)
 """Statuses with which a host promises that the request never runs."""
 
+COPY_LEAD_S = 0.1
+"""Time between the copy of a refusal and the answer that follows it."""
+
 SETTLE_S = 0.5
 """Longer than any attempt that is still on its way."""
 
@@ -152,6 +155,70 @@
         assert answer.status not in PROMISES
 
 
+def refuse_first_and_copy(
+    status: int,
+) -> Callable[[dict[str, str], int], list[faultyserver.Step]]:
+    """Refuse the first request, run all others.
+
+    The refusal's copy comes where the next answer on its connection is due.
+    """
+
+    def script(
+        headers: dict[str, str], number: int
+    ) -> list[faultyserver.Step]:
+        request_id = headers[names.REQUEST_ID_HEADER.lower()]
+        if number:
+            answer = faultyserver.build_answer(request_id, b"ran")
+            return [faultyserver.Step(answer, COPY_LEAD_S)]
+        refusal = faultyserver.build_shed_answer(request_id, status)
+        return [
+            faultyserver.Step(refusal),
+            faultyserver.Step(refusal, is_held=True),
+        ]
+
+    return script
+
+
+# Guards against REFUSED: the copy of a refusal is taken for the answer when
+# the request goes to the same address again, as a server that has started
+# again is registered there under two ids.
+@pytest.mark.parametrize("is_write", [True, False])
+@pytest.mark.parametrize("status", [421, 429, 503])
+async def test_copied_refusal_of_an_earlier_attempt_is_not_believed(
+    fleet, status, is_write
+) -> None:
+    service = (
+        platformfleet.WRITE_SERVICE if is_write else platformfleet.READ_SERVICE
+    )
+    async with faultyserver.FaultyServer(
+        refuse_first_and_copy(status)
+    ) as server:
+        await faultyserver.replace_addresses(
+            fleet, server.address, server.address, service=service
+        )
+        answer = await rawcaller.send_one(fleet, "w", is_write=is_write)
+        assert server.request_ids == ["w", "w"]
+        assert (answer.status, answer.body) == (200, b"ran")
+
+
+# Guards against REFUSED: the same, when a caller sends a refused request again
+# with its id.
+@pytest.mark.parametrize("is_write", [True, False])
+async def test_copied_refusal_of_a_request_sent_again_is_not_believed(
+    fleet, is_write
+) -> None:
+    service = (
+        platformfleet.WRITE_SERVICE if is_write else platformfleet.READ_SERVICE
+    )
+    async with faultyserver.FaultyServer(refuse_first_and_copy(503)) as server:
+        await faultyserver.replace_servers(fleet, server, service=service)
+        first = await rawcaller.send_one(fleet, "w", is_write=is_write)
+        again = await rawcaller.send_one(fleet, "w", is_write=is_write)
+        assert first.status == 503
+        assert server.request_ids == ["w", "w"]
+        assert (again.status, again.body) == (200, b"ran")
+
+
 # Guards against MIXED: bytes that belong to no protocol spoken here are passed
 # on as an answer.
 async def test_switch_of_protocols_is_no_answer(fleet) -> None:
