Carry no request id twice over one connection

What callers saw: an order answered 503, never to run, that a server ran. Cause: an answer was believed if it named the request, and a host could send one request over one connection twice: where one address is registered under two ids, as after a server's restart, or where a caller repeats an id. The copy of the first refusal was then the answer to the second attempt. Change: a connection remembers the ids of the requests that it has carried, at most 128, and is passed over, and closed, for a request with one of them. Why it works: an id is sent once on a connection, so an answer that names it belongs to that attempt, whenever it comes. Refusals stay cheap: connections are kept after them.

--- a/src/cowslipshift/connections.py
+++ b/src/cowslipshift/connections.py
@@ -1,6 +1,7 @@
 """Client connections that are not trusted for longer than they are watched.
 
-They take no bytes for an answer that nobody awaits. Between the hosts, and to
+They take no bytes for an answer that nobody awaits, and carry no request id
+twice, so that the id of an answer tells its request. Between the hosts, and to
 the store, none is used twice: whatever is between the two ends may have lost
 track of a connection that is idle, and bytes sent on it are lost silently.
 """
@@ -41,6 +42,9 @@
 
 MAX_INTERIM_ANSWERS = 32
 
+MAX_REQUESTS = 128
+"""Requests after which a connection is closed, as it remembers their ids."""
+
 _numbers = itertools.count(1)
 
 
@@ -66,7 +70,10 @@
 
 @contextlib.contextmanager
 def track(exchange: Exchange) -> Iterator[None]:
-    """Tell the connections which request is sent within the context."""
+    """Tell the connections which request is sent within the context.
+
+    It gets none that has carried its id before.
+    """
     token = _exchange.set(exchange)
     try:
         yield
@@ -88,6 +95,7 @@
         super().__init__(loop)
         self._number = next(_numbers)
         self._requests = 0
+        self._request_ids: set[str] = set()
         self._has_final_head = False
         self._deferred = b""
         self._part_bytes = FIRST_PART_BYTES
@@ -101,6 +109,7 @@
         if exchange is not None:
             exchange.connection = self._number
             exchange.carried = self._requests
+            self._request_ids.add(exchange.request_id)
         self._requests += 1
         self._has_final_head = False
         self._parsed_bytes = 0
@@ -108,6 +117,20 @@
         self._part_bytes = FIRST_PART_BYTES
         super().set_response_params(**params)
 
+    def is_connected(self) -> bool:
+        """Tell whether the connection may carry the present request.
+
+        An answer that names an earlier request of the same id could belong to
+        either of them.
+        """
+        exchange = _exchange.get()
+        if exchange is not None and (
+            exchange.request_id in self._request_ids
+            or self._requests >= MAX_REQUESTS
+        ):
+            return False
+        return super().is_connected()
+
     def feed_data(self, data: Any, size: int = 0) -> None:
         """Note whether the head of a final answer has arrived."""
         message, _ = data
