Send no request to a server of the own interface twice over one connection

What callers saw: 503 `not_run` for an idempotent request that a server ran. A request comes to one host twice when other hosts pass it on, and its first attempt there uses the pool; a copy of the rejection, which names the request, was then its answer. Evidence: 2 of 2 cases of the new test in tests/serving/test_refused_attempts fail before. Change: attempts name their request to the connection, which then carries it once. Orders open a connection each and were not concerned. Measured: the file passes.

--- a/src/cowslipshift/serving/backend/attempt.py
+++ b/src/cowslipshift/serving/backend/attempt.py
@@ -158,13 +158,14 @@
         async with asyncio.timeout(remaining_s) as timeout:
             detector.start(timeout)
             try:
-                response = await session.request(
-                    call.method,
-                    url,
-                    headers=_build_headers(call, remaining_s),
-                    data=call.body.open(),
-                    allow_redirects=False,
-                )
+                with connections.track(connections.Exchange(call.id)):
+                    response = await session.request(
+                        call.method,
+                        url,
+                        headers=_build_headers(call, remaining_s),
+                        data=call.body.open(),
+                        allow_redirects=False,
+                    )
             finally:
                 detector.cancel()
         connections.check_final(response)
--- a/tests/serving/test_refused_attempts.py
+++ b/tests/serving/test_refused_attempts.py
@@ -22,6 +22,8 @@
 
 PROMISES = sorted(statuses.PROMISES)
 TIMEOUT_S = 5.0
+COPY_LEAD_S = 0.1
+"""Time between the copy of a rejection and the answer that follows it."""
 
 
 def name_request(headers: dict[str, str]) -> str:
@@ -29,9 +31,14 @@
 
 
 async def send(
-    address: str, is_idempotent: bool = False, requests: int = 1
+    address: str,
+    is_idempotent: bool = False,
+    request_ids: tuple[str, ...] = ("r",),
 ) -> calls.Reply:
-    """Send requests to a server one after the other; return the last reply."""
+    """Send requests to a server one after the other; return the last reply.
+
+    Rejections of all but the last one are ignored.
+    """
     sessions = transport.Sessions()
     client = attempt.BackendClient(clocks.SystemClock(), sessions)
     backend = backends.Backend(
@@ -46,17 +53,21 @@
         False,
     )
     try:
-        for number in range(requests):
+        for number, request_id in enumerate(request_ids):
             call = builders.build_call(
-                id=f"r{number}",
+                id=request_id,
                 idempotent=is_idempotent,
                 deadline_s=time.monotonic() + TIMEOUT_S,
             )
-            async with contextlib.AsyncExitStack() as stack:
-                reply = await client.send(
-                    call, backend, False, stack, lambda: False
-                )
-                await reply.read()
+            try:
+                async with contextlib.AsyncExitStack() as stack:
+                    reply = await client.send(
+                        call, backend, False, stack, lambda: False
+                    )
+                    await reply.read()
+            except attempt.AttemptRejectedError:
+                if number == len(request_ids) - 1:
+                    raise
         return reply
     finally:
         await sessions.close()
@@ -100,7 +111,9 @@
 
     async with faultyserver.FaultyServer(script) as server:
         with pytest.raises(attempt.AnswerLostError):
-            await send(server.address, is_idempotent, earlier + 1)
+            await send(
+                server.address, is_idempotent, ("r0", "r1")[: earlier + 1]
+            )
 
 
 @pytest.mark.parametrize("is_idempotent", [True, False])
@@ -117,3 +130,28 @@
     async with faultyserver.FaultyServer(script) as server:
         with pytest.raises(attempt.AttemptRejectedError):
             await send(server.address, is_idempotent)
+
+
+# Guards against REFUSED: the copy of a rejection is believed when the request
+# comes to the same server again, on its way over another host.
+@pytest.mark.parametrize("word", [attempt.SHED_HEADER, attempt.DRAIN_HEADER])
+async def test_copied_rejection_of_an_earlier_attempt_is_not_believed(
+    word,
+) -> None:
+    def script(headers, number) -> list[faultyserver.Step]:
+        named = name_request(headers)
+        if number:
+            answer = faultyserver.build_plain_answer(200, named, body=b"ran")
+            return [faultyserver.Step(answer, COPY_LEAD_S)]
+        rejection = faultyserver.build_plain_answer(
+            503, f"{word}: true", named
+        )
+        return [
+            faultyserver.Step(rejection),
+            faultyserver.Step(rejection, is_held=True),
+        ]
+
+    async with faultyserver.FaultyServer(script) as server:
+        reply = await send(server.address, True, ("r", "r"))
+        assert server.request_ids == ["", ""]
+        assert (reply.status, await reply.read()) == (200, b"ran")
