Let hosts name the attempt in their answers to each other

What callers saw: 503 `not_run` for an idempotent request that another host's server ran. Cause: the answer to a forwarded request named neither request nor attempt, and idempotent forwards share connections: the copy of a refusal was believed by whatever came next. Change: a host repeats the id of the attempt, which is new for each forward, and answers without it are lost; a lost order is recalled as before. All hosts of a fleet have to be updated together: an older one's answers count as lost.

--- a/src/cowslipshift/serving/backend/forwarding.py
+++ b/src/cowslipshift/serving/backend/forwarding.py
@@ -173,13 +173,17 @@
             self._sessions.pooled if call.idempotent else self._sessions.fresh
         )
         async with asyncio.timeout(remaining_s):
-            return await session.request(
+            response = await session.request(
                 call.method,
                 yarl.URL(url, encoded=True),
                 headers=headers,
                 data=call.body.open(),
                 allow_redirects=False,
             )
+        if response.headers.get(wire.ATTEMPT_HEADER) != attempt:
+            response.close()
+            raise aiohttp.ClientPayloadError("answer to another attempt")
+        return response
 
     async def _read_reply(
         self,
--- a/src/cowslipshift/serving/entry/peerapi.py
+++ b/src/cowslipshift/serving/entry/peerapi.py
@@ -118,10 +118,12 @@
                 status=refusal.status,
                 body=refusals.encode_refusal(refusal),
                 headers=self._build_result_headers(
-                    service, wire.RESULT_REFUSED
+                    request, service, wire.RESULT_REFUSED
                 ),
             )
-        headers = self._build_result_headers(service, wire.RESULT_ANSWERED)
+        headers = self._build_result_headers(
+            request, service, wire.RESULT_ANSWERED
+        )
         headers[wire.SERVER_HEADER] = reply.server
         return await _send_reply(request, reply, headers)
 
@@ -203,10 +205,11 @@
             raise refusals.refuse_late_body() from error
 
     def _build_result_headers(
-        self, service: str, result: str
+        self, request: web.Request, service: str, result: str
     ) -> dict[str, str]:
         load = self._slots.measure_load(service)
         return {
+            wire.ATTEMPT_HEADER: request.headers.get(wire.ATTEMPT_HEADER, ""),
             wire.RESULT_HEADER: result,
             wire.LOAD_HEADER: wire.format_load(load),
         }
