Let servers of the soak copy refusals and start again in place

Cause: no run of real processes had servers that copy refusals, nor one that starts again at its address while its earlier entry is still there. Change: the stand-in writes the copy of each refusal where the answer to the next request on that connection is due; the soak restarts servers in place, twice as often as most disruptions.

--- a/src/cowslipshift/standins/platformbackend.py
+++ b/src/cowslipshift/standins/platformbackend.py
@@ -10,6 +10,7 @@
 import asyncio
 import collections
 from typing import Any
+import weakref
 
 from aiohttp import web
 import msgspec
@@ -36,6 +37,8 @@
         limit: Requests a second that its answers say it takes; none if empty.
         leaving: Say in all answers that it leaves.
         wait: Seconds, in its refusals, for which it wants no requests.
+        copies_refusals: Write the copy of each refusal where the answer to
+            the next request on its connection is due.
     """
 
     service_s: float = 0.03
@@ -49,6 +52,7 @@
     limit: str = ""
     leaving: bool = False
     wait: str = ""
+    copies_refusals: bool = False
 
 
 class RequestRecord(msgspec.Struct, frozen=True):
@@ -87,6 +91,9 @@
         self._warm_objects: collections.OrderedDict[str, None] = (
             collections.OrderedDict()
         )
+        self._refusals: weakref.WeakKeyDictionary[
+            asyncio.BaseTransport, web.Response
+        ] = weakref.WeakKeyDictionary()
 
     def build_entry(
         self,
@@ -119,6 +126,31 @@
 
     async def handle(self, request: web.Request) -> web.StreamResponse:
         """Run a request, or answer that it was not executed."""
+        self._write_copy(request)
+        response = await self._handle(request)
+        if not isinstance(response, web.Response):
+            return response
+        is_refusal = response.status == 421 or (
+            names.NOT_EXECUTED_HEADER in response.headers
+        )
+        if self.behaviour.copies_refusals and is_refusal:
+            assert request.transport is not None
+            self._refusals[request.transport] = response
+        return response
+
+    def _write_copy(self, request: web.Request) -> None:
+        """Write the copy of the last refusal on a connection, if any."""
+        assert request.transport is not None
+        refusal = self._refusals.pop(request.transport, None)
+        if refusal is None:
+            return
+        lines = [f"{name}: {value}" for name, value in refusal.headers.items()]
+        head = "\r\n".join([f"HTTP/1.1 {refusal.status} Copy", *lines])
+        transport = request.transport
+        assert isinstance(transport, asyncio.WriteTransport)
+        transport.write(f"{head}\r\n\r\n".encode())
+
+    async def _handle(self, request: web.Request) -> web.StreamResponse:
         own_headers = {
             names.REQUEST_ID_HEADER: request.headers.get(
                 names.REQUEST_ID_HEADER, ""
--- a/src/cowslipshift/standins/platformfleet.py
+++ b/src/cowslipshift/standins/platformfleet.py
@@ -124,6 +124,9 @@
         self.hosts: list[edge_service.EdgeService] = []
         self.backend_addresses: dict[str, str] = {}
         self.backend_locations: dict[str, tuple[str, str]] = {}
+        self._backends_by_address: dict[
+            str, platformbackend.PlatformBackendStandIn
+        ] = {}
         self._counts = (hosts, backends)
         self._runners: list[web.AppRunner] = []
         self._lease_task: asyncio.Task[None] | None = None
@@ -159,20 +162,45 @@
         self, service: str, data_centre: str, version: str = "v1"
     ) -> platformbackend.PlatformBackendStandIn:
         """Start a backend server and register it in the store."""
-        identity = f"{service}-{len(self.backends) + 1}"
-        backend = platformbackend.PlatformBackendStandIn(identity, slots=3)
         application = web.Application()
-        application.router.add_route("*", "/{path:.*}", backend.handle)
+        application.router.add_route("*", "/{path:.*}", self._handle)
         address = await self._serve(application)
+        return self._register(address, service, data_centre, version)
+
+    def restart_backend(
+        self, identity: str
+    ) -> platformbackend.PlatformBackendStandIn:
+        """Start a backend server again at its address, under another id.
+
+        Its connections and its earlier entry in the store remain.
+        """
+        backend = self._register(
+            self.backend_addresses[identity], *self.backend_locations[identity]
+        )
+        backend.behaviour = self.backends[identity].behaviour
+        return backend
+
+    def _register(
+        self, address: str, service: str, data_centre: str, version: str = "v1"
+    ) -> platformbackend.PlatformBackendStandIn:
+        identity = f"{service}-{len(self.backends) + 1}"
+        backend = platformbackend.PlatformBackendStandIn(identity, slots=3)
         self.backends[identity] = backend
         self.backend_addresses[identity] = address
         self.backend_locations[identity] = (service, data_centre)
+        self._backends_by_address[address] = backend
         self.store.put(
             names.BACKEND_PREFIX + identity,
             backend.build_entry(address, service, data_centre, version),
         )
         return backend
 
+    async def _handle(self, request: web.Request) -> web.StreamResponse:
+        """Let the server that has started last at an address answer."""
+        assert request.transport is not None
+        ip, port = request.transport.get_extra_info("sockname")[:2]
+        return await self._backends_by_address[f"{ip}:{port}"].handle(request)
+
     async def open_store_port(self) -> str:
         """Serve the store on another port and return the address."""
         return await self._serve(self.store.build_application())
--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -23,6 +23,9 @@
 RESTART_PAUSE_S = 0.3
 MIN_SERVERS = 3
 LATE_WRITE_S = 1.2
+RESTARTED_ENTRY_S = 1.0
+"""How long the entry of a server outlives it when it starts again."""
+
 EXIT_AFTER_S = 8.0
 """How long a leaving server goes on serving after its report."""
 
@@ -87,11 +90,15 @@
             self.drain,
             self.disrupt_server,
             self.disrupt_server,
+            self.restart_server,
+            self.restart_server,
         )
 
     async def __aenter__(self) -> Deployment:
         """Start everything and wait until all hosts are ready."""
         await self.fleet.__aenter__()
+        for server in self.fleet.backends.values():
+            server.behaviour.copies_refusals = True
         await asyncio.gather(*(self._start(host) for host in self.hosts))
         return self
 
@@ -207,6 +214,15 @@
         await asyncio.sleep(self._draw.uniform(0.5, 2.0))
         setattr(behaviour, kind, False)
 
+    async def restart_server(self) -> None:
+        """Start a server again at its address before its entry has gone."""
+        serving = [s for s in self.fleet.backends if s not in self._left]
+        ended = self._draw.choice(serving)
+        self._left.add(ended)
+        self.fleet.restart_backend(ended)
+        await asyncio.sleep(RESTARTED_ENTRY_S)
+        self.fleet.store.delete(names.BACKEND_PREFIX + ended)
+
     async def configure(self) -> None:
         """Replace the API key by a new one; check that hosts follow."""
         self._version += 1
@@ -277,7 +293,8 @@
         await asyncio.sleep(EXIT_AFTER_S - LATE_WRITE_S)
         self.fleet.store.delete(key)
         centre = self.fleet.backend_locations[leaving][1]
-        await self.fleet.add_backend(service, centre)
+        successor = await self.fleet.add_backend(service, centre)
+        successor.behaviour.copies_refusals = True
 
     # Hosts
 
