Use no connection twice for status requests and edits of the command line

What operators could see: the status of a host that belongs to an earlier request, or a refusal of the store that belongs to an earlier call. Cause: the command line used plain sessions, which take an answer too many for the next one; daemons use guarded connections, once each. Change: the command line opens the daemons' control session.

--- a/src/cowslipshift/console/fleetstatus.py
+++ b/src/cowslipshift/console/fleetstatus.py
@@ -8,6 +8,7 @@
 import aiohttp
 import msgspec
 
+from cowslipshift import connections
 from cowslipshift import exceptions
 
 REQUEST_TIMEOUT_S = 2.0
@@ -60,7 +61,7 @@
     Raises:
         HostUnreachableError: The host at the URL did not answer.
     """
-    async with aiohttp.ClientSession() as session:
+    async with connections.open_control_session() as session:
         first_status = await fetch_status(session, url)
         addresses: dict[str, str] = first_status["hosts"]
 
--- a/src/cowslipshift/console/session.py
+++ b/src/cowslipshift/console/session.py
@@ -7,8 +7,7 @@
 import os
 from typing import TYPE_CHECKING
 
-import aiohttp
-
+from cowslipshift import connections
 from cowslipshift import exceptions
 from cowslipshift.config import editor as editors
 from cowslipshift.store import client as clients
@@ -49,7 +48,7 @@
     if not endpoints:
         raise UsageError(f"give --store or set {STORE_VARIABLE}")
     name = author or os.environ.get(AUTHOR_VARIABLE) or getpass.getuser()
-    async with aiohttp.ClientSession() as session:
+    async with connections.open_control_session() as session:
         yield editors.Editor(clients.StoreClient(endpoints, session), name)
 
 
