Bound what a connection remembers, and close full ones one by one

Cause, found by the review of the fix: callers choose ids of up to a head's 16 KiB, so that 127 of them held 1.0 MB at an idle connection, and all connections of a pool reached their 128 requests together, each replaced before the old one was closed. Change: hashes of ids are kept; a connection is closed when its last answer has been read, after 97 to 128 requests by its number. Measured: tests of faulty servers and idle connections pass, with a new one for the limit of requests.

--- a/src/cowslipshift/connections.py
+++ b/src/cowslipshift/connections.py
@@ -43,7 +43,9 @@
 MAX_INTERIM_ANSWERS = 32
 
 MAX_REQUESTS = 128
-"""Requests after which a connection is closed, as it remembers their ids."""
+MAX_REQUESTS_SPREAD = 32
+"""Requests after which a connection is closed, as it remembers their ids, and
+by how many fewer some take, so that not all of a pool end together."""
 
 _numbers = itertools.count(1)
 
@@ -95,7 +97,8 @@
         super().__init__(loop)
         self._number = next(_numbers)
         self._requests = 0
-        self._request_ids: set[str] = set()
+        self._max_requests = MAX_REQUESTS - self._number % MAX_REQUESTS_SPREAD
+        self._request_ids: set[int] = set()
         self._has_final_head = False
         self._deferred = b""
         self._part_bytes = FIRST_PART_BYTES
@@ -109,7 +112,9 @@
         if exchange is not None:
             exchange.connection = self._number
             exchange.carried = self._requests
-            self._request_ids.add(exchange.request_id)
+            # Callers choose ids, which may be long; equal hashes of two only
+            # cost a connection.
+            self._request_ids.add(hash(exchange.request_id))
         self._requests += 1
         self._has_final_head = False
         self._parsed_bytes = 0
@@ -124,9 +129,9 @@
         either of them.
         """
         exchange = _exchange.get()
-        if exchange is not None and (
-            exchange.request_id in self._request_ids
-            or self._requests >= MAX_REQUESTS
+        if (
+            exchange is not None
+            and hash(exchange.request_id) in self._request_ids
         ):
             return False
         return super().is_connected()
@@ -159,7 +164,11 @@
     @property
     def should_close(self) -> bool:
         """Whether no other request may use the connection."""
-        return bool(self._deferred) or super().should_close
+        return (
+            bool(self._deferred)
+            or self._requests >= self._max_requests
+            or super().should_close
+        )
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Parse what had arrived before the end."""
--- a/tests/edge/test_faulty_backends.py
+++ b/tests/edge/test_faulty_backends.py
@@ -145,6 +145,22 @@
     await client.close()
 
 
+# Guards against memory that grows with the requests of a connection.
+async def test_connection_is_replaced_after_many_requests() -> None:
+    def script(headers: dict[str, str], number: int) -> list[Step]:
+        request_id = headers[names.REQUEST_ID_HEADER.lower()]
+        return [Step(faultyserver.build_answer(request_id, b"x"))]
+
+    client = upstream.UpstreamClient()
+    async with faultyserver.FaultyServer(script) as server:
+        for number in range(2 * connections.MAX_REQUESTS):
+            await send(client, server, f"{number:07900d}")
+        most = max(map(server.carriers.count, set(server.carriers)))
+        assert most <= connections.MAX_REQUESTS
+        assert server.connections <= 3
+    await client.close()
+
+
 async def test_connection_with_unasked_bytes_is_not_used_again() -> None:
     def script(headers: dict[str, str], number: int) -> list[Step]:
         request_id = headers[names.REQUEST_ID_HEADER.lower()]
