Send each request of the own interface once

What callers saw: 503 `not_run` for an order (PUT, DELETE) that a server ran, or that another host had taken; it could run several times. Cause, found by the review: when a connection ended before an answer, the client library sent requests with idempotent methods again by itself, whatever the route says, and the rejection of a copy, or a refused connection, spoke for the first one. The platform interface had switched this off. Change: one function switches it off for all sessions, those to the store too. Why it works: the dispatcher and the forwarder alone repeat, with what they know of the route and the budget.

--- a/src/cowslipshift/connections.py
+++ b/src/cowslipshift/connections.py
@@ -292,13 +292,24 @@
     )
 
 
+def disable_resending(session: aiohttp.ClientSession) -> None:
+    """Let a session send each request once.
+
+    When a connection ends before an answer, aiohttp sends requests with
+    idempotent methods again. Here routes decide what may be repeated.
+    """
+    session._retry_connection = False
+
+
 def open_control_session() -> aiohttp.ClientSession:
     """Open a session for calls to the store and to other hosts.
 
     Each call opens a connection, which costs a round trip. On a connection of
     a pool that has fallen silent it would wait until its time limit.
     """
-    return aiohttp.ClientSession(
+    session = aiohttp.ClientSession(
         connector=GuardedConnector(force_close=True),
         cookie_jar=aiohttp.DummyCookieJar(),
     )
+    disable_resending(session)
+    return session
--- a/src/cowslipshift/edge/upstream.py
+++ b/src/cowslipshift/edge/upstream.py
@@ -185,9 +185,7 @@
         ),
         trace_configs=[trace],
     )
-    # When a kept connection turns out closed, aiohttp sends requests with
-    # idempotent methods again. Here the route decides what may be repeated.
-    session._retry_connection = False
+    connections.disable_resending(session)
     return session
 
 
--- a/src/cowslipshift/serving/backend/transport.py
+++ b/src/cowslipshift/serving/backend/transport.py
@@ -49,7 +49,7 @@
         connector = connections.GuardedConnector(
             keepalive_timeout=KEEPALIVE_S, local_addr=local
         )
-    return aiohttp.ClientSession(
+    session = aiohttp.ClientSession(
         connector=connector,
         cookie_jar=aiohttp.DummyCookieJar(),
         auto_decompress=False,
@@ -58,3 +58,5 @@
             total=None, sock_connect=CONNECT_TIMEOUT_S
         ),
     )
+    connections.disable_resending(session)
+    return session
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -13,6 +13,7 @@
 
 from cowslipshift.config import model
 from cowslipshift.serving import calls as serving_calls
+from cowslipshift.serving.backend import backends
 from cowslipshift.serving.entry import idempotency
 from cowslipshift.standins import deployments
 from cowslipshift.standins import portreservations
@@ -342,3 +343,15 @@
         "deadline_s": 0.0,
     }
     return serving_calls.Call(**{**base, **fields})
+
+
+def build_server_state(address: str) -> backends.Backend:
+    """Build the state of a backend server of the own interface."""
+    server = model.Server(
+        name="s1",
+        service="approvals",
+        data_centre="north-a",
+        url=f"http://{address}",
+        slots=2,
+    )
+    return backends.Backend(server, 0.0, False)
--- a/tests/edge/faultyserver.py
+++ b/tests/edge/faultyserver.py
@@ -79,6 +79,10 @@
             writer.close()
         self._server.close()
 
+    def stop_listening(self) -> None:
+        """Accept no further connections."""
+        self._server.close()
+
     @property
     def address(self) -> str:
         """Address as ``ip:port``."""
