Name the connection of the answer that is passed on

Cause, found by the review: a host that passes on an earlier answer, as no later attempt got one, logged the connection of the last attempt beside the server of the earlier one. Change: an answer is kept with its attempt.

--- a/src/cowslipshift/edge/attempts.py
+++ b/src/cowslipshift/edge/attempts.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from aiohttp import web
+import msgspec
 
 from cowslipshift import connections
 from cowslipshift.edge import exceptions
@@ -84,6 +85,14 @@
         self.usage = usage
 
 
+class _Answered(msgspec.Struct):
+    """An answer with the attempt that got it."""
+
+    choice: calls.Choice
+    answer: upstream.Answer
+    exchange: connections.Exchange
+
+
 class Attempts:
     """The attempts of one request."""
 
@@ -119,7 +128,7 @@
         self._sent = 0
         self._connect_failures = 0
         self._may_have_run = False
-        self._last_answered: tuple[calls.Choice, upstream.Answer] | None = None
+        self._last_answered: _Answered | None = None
 
     async def run(self) -> web.Response:
         """Make attempts until one gives an answer, or none is left.
@@ -166,7 +175,7 @@
 
     def _conclude_unanswered(self, refusal: calls.Refusal) -> web.Response:
         if self._last_answered is not None:
-            return self._pass_on(*self._last_answered)
+            return self._pass_on(self._last_answered)
         if self._may_have_run:
             raise self._build_unknown(refusal.reason == "late")
         raise Refused(
@@ -287,10 +296,11 @@
             return None
         is_bad = answer.status >= 500
         self._record_answer(choice, answer.took_s, is_bad)
+        answered = _Answered(choice, answer, self._exchange)
         if is_bad and call.route.is_idempotent:
-            self._last_answered = choice, answer
+            self._last_answered = answered
             return None
-        return self._pass_on(choice, answer)
+        return self._pass_on(answered)
 
     def _reject_answer(self, choice: calls.Choice, reason: str) -> None:
         """Treat an answer as lost, as it does not tell what came of a request.
@@ -306,9 +316,8 @@
         if not self._call.route.is_idempotent:
             raise self._build_unknown(is_timeout=False)
 
-    def _pass_on(
-        self, choice: calls.Choice, answer: upstream.Answer
-    ) -> web.Response:
+    def _pass_on(self, answered: _Answered) -> web.Response:
+        choice, answer = answered.choice, answered.answer
         call, deps = self._call, self._deps
         now = deps.clock.now()
         took_s = now - call.arrived_s
@@ -327,7 +336,7 @@
             returned=call.has_returned,
             config=deps.balancer.version,
             **describe_choice(choice, now),
-            **self._describe_exchange(),
+            **_describe_exchange(answered.exchange),
         )
         deps.metrics.count_answer(
             call.route, call.priority, answer.status, took_s
@@ -375,7 +384,7 @@
             reason=error.message,
             ejected=is_ejected,
             **describe_choice(choice, now),
-            **self._describe_exchange(),
+            **_describe_exchange(self._exchange),
         )
 
     def _record_shed(
@@ -391,16 +400,9 @@
             status=status,
             stated=is_stated,
             **describe_choice(choice, now),
-            **self._describe_exchange(),
+            **_describe_exchange(self._exchange),
         )
 
-    def _describe_exchange(self) -> dict[str, object]:
-        """Return the log fields of the connection of the last attempt."""
-        return {
-            "connection": self._exchange.connection,
-            "carried": self._exchange.carried,
-        }
-
     def _record_limit(
         self, choice: calls.Choice, server_limit: float | None
     ) -> None:
@@ -454,6 +456,14 @@
             )
 
 
+def _describe_exchange(exchange: connections.Exchange) -> dict[str, object]:
+    """Return the log fields of the connection of an attempt."""
+    return {
+        "connection": exchange.connection,
+        "carried": exchange.carried,
+    }
+
+
 def describe_choice(
     choice: calls.Choice | None, now: float
 ) -> dict[str, object]:
