Believe the load that a server states only of itself

Another server that answers at an address (421) states its own load, which was kept for the server that had been asked, and told to other hosts. Change: a 421's load is not recorded, as its limit and signals were not before.

--- a/src/cowslipshift/edge/attempts.py
+++ b/src/cowslipshift/edge/attempts.py
@@ -272,11 +272,11 @@
         answer_headers = ingress.parse_answer_headers(
             answer.status, answer.headers
         )
-        if answer_headers.load is not None:
-            deps.balancer.load_exchange.record_answer(
-                state, answer_headers.load, now
-            )
         if not answer_headers.is_other_server:
+            if answer_headers.load is not None:
+                deps.balancer.load_exchange.record_answer(
+                    state, answer_headers.load, now
+                )
             self._record_limit(choice, answer_headers.server_limit)
             self._record_signals(choice, answer_headers)
         self._sent += 1
--- a/tests/edge/test_attempts.py
+++ b/tests/edge/test_attempts.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import TYPE_CHECKING
 
 import logbook
@@ -62,3 +63,23 @@
     assert int(shed["connection"]) == int(answered["connection"]) + 1
     assert shed["carried"] == answered["carried"] == "0"
     assert shed["address"] == answered["address"] == address
+
+
+# Guards against a load that is believed of a server which did not state it.
+async def test_load_that_another_server_states_is_not_recorded(fleet) -> None:
+    def script(headers, number) -> list[faultyserver.Step]:
+        request_id = headers[names.REQUEST_ID_HEADER.lower()]
+        answer = faultyserver.build_plain_answer(
+            421,
+            f"{names.REQUEST_ID_HEADER}: {request_id}",
+            f"{names.LOAD_HEADER}: 900,90,8",
+        )
+        return [faultyserver.Step(answer)]
+
+    async with faultyserver.FaultyServer(script) as server:
+        await faultyserver.replace_servers(fleet, server)
+        await rawcaller.send_one(fleet, "w", is_write=True)
+        balancer = fleet.hosts[0].balancer
+        (state,) = balancer.inventory.list_servers(platformfleet.WRITE_SERVICE)
+        now = asyncio.get_running_loop().time()
+        assert state.estimate_load(now) < 1.0
