--- a/src/cowslipshift/config/document.py
+++ b/src/cowslipshift/config/document.py
@@ -54,7 +54,7 @@
     try:
         configuration = _decoder.decode(raw)
     except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        fault = _describe_decode_error(str(error))
+        fault = describe_decode_error(str(error))
         raise exceptions.InvalidConfigurationError([fault]) from error
     validation.check_configuration(configuration)
     return configuration
@@ -65,8 +65,7 @@
     return hashlib.sha256(_encoder.encode(configuration)).hexdigest()
 
 
-def _describe_decode_error(text: str) -> exceptions.Fault:
-    message, separator, path = text.partition(" - at `$")
-    if not separator:
-        return exceptions.Fault("$", message)
-    return exceptions.Fault("$" + path.rstrip("`"), message)
+def describe_decode_error(text: str) -> exceptions.Fault:
+    """Split the text of a decoder's error into path and message."""
+    message, _, path = text.partition(" - at `$")
+    return exceptions.Fault("$" + path.rstrip("`"), message, "malformed")
--- a/src/cowslipshift/config/edits.py
+++ b/src/cowslipshift/config/edits.py
@@ -43,6 +43,7 @@
                         exceptions.Fault(
                             f"keys[{key.id}].state",
                             "is withdrawn for good; add a new key instead",
+                            "key_withdrawn",
                         )
                     ]
                 )
--- a/src/cowslipshift/config/exceptions.py
+++ b/src/cowslipshift/config/exceptions.py
@@ -18,10 +18,12 @@
     Attributes:
         path: Entry and field, such as ``servers[catalogue-01].slots``.
         message: What is wrong.
+        code: A stable identifier of the rule.
     """
 
     path: str
     message: str
+    code: str = "value_invalid"
 
     def __str__(self) -> str:
         return f"{self.path}: {self.message}"
--- a/src/cowslipshift/config/validation.py
+++ b/src/cowslipshift/config/validation.py
@@ -71,12 +71,15 @@
         for name, count in collections.Counter(names).items():
             if count > 1:
                 yield exceptions.Fault(
-                    f"{section}[{name}]", f"is given {count} times"
+                    f"{section}[{name}]",
+                    f"is given {count} times",
+                    "name_repeated",
                 )
             if section != "blocks" and not _NAME.match(name):
                 yield exceptions.Fault(
                     f"{section}[{name}]",
                     "names take letters, digits, '.', '_' and '-', at most 63",
+                    "name_invalid",
                 )
 
 
@@ -84,14 +87,18 @@
     path: str, name: str, known: Iterable[str], kind: str
 ) -> Iterator[exceptions.Fault]:
     if name not in known:
-        yield exceptions.Fault(path, f"there is no {kind} '{name}'")
+        yield exceptions.Fault(
+            path, f"there is no {kind} '{name}'", "reference_unknown"
+        )
 
 
 def _check_range(
     path: str, value: float, low: float, high: float
 ) -> Iterator[exceptions.Fault]:
     if not math.isfinite(value) or not low <= value <= high:
-        yield exceptions.Fault(path, f"must be from {low:g} to {high:g}")
+        yield exceptions.Fault(
+            path, f"must be from {low:g} to {high:g}", "out_of_range"
+        )
 
 
 def _check_url(path: str, url: str) -> Iterator[exceptions.Fault]:
@@ -213,7 +220,9 @@
                 f"{path}[{route.name}]", "must be a path that starts with /"
             )
         if route.name in seen:
-            yield exceptions.Fault(f"{path}[{route.name}]", "is given twice")
+            yield exceptions.Fault(
+                f"{path}[{route.name}]", "is given twice", "name_repeated"
+            )
         seen.add(route.name)
 
 
@@ -242,7 +251,9 @@
             )
         if key.digest in digests:
             yield exceptions.Fault(
-                f"{path}.digest", f"is the same as keys[{digests[key.digest]}]"
+                f"{path}.digest",
+                f"is the same as keys[{digests[key.digest]}]",
+                "key_repeated",
             )
         digests[key.digest] = key.id
 
--- a/src/cowslipshift/config/weights.py
+++ b/src/cowslipshift/config/weights.py
@@ -87,6 +87,7 @@
                     f"shifts[{service}/{place}]",
                     f"the weight would jump from {old_weight:.3f} to "
                     f"{new_weight:.3f}",
+                    "weight_jump",
                 )
             )
     if faults:
--- a/src/cowslipshift/steering/balancer.py
+++ b/src/cowslipshift/steering/balancer.py
@@ -230,7 +230,7 @@
         service = self._splitters[route.key].choose_service()
         rollout = self.rollouts.get(service)
         self._retries.record_request(service)
-        regions = _intersect(route, account)
+        regions = eligibility.intersect_regions(route, account)
         if self.spreader.is_active:
             self.spreader.demand.record_request(service, regions, arrived_s)
         return calls.Call(
@@ -499,14 +499,3 @@
             if self._cold_servers.try_send(state.entry.id, rate, now):
                 return self._estimator.predict(call, state, position, now)
         return None
-
-
-def _intersect(
-    route: model.Route, account: model.Account | None
-) -> frozenset[str] | None:
-    limits = [frozenset(route.regions)] if route.regions else []
-    if account is not None and account.regions:
-        limits.append(frozenset(account.regions))
-    if not limits:
-        return None
-    return frozenset.intersection(*limits)
--- a/src/cowslipshift/steering/eligibility.py
+++ b/src/cowslipshift/steering/eligibility.py
@@ -10,6 +10,7 @@
     from cowslipshift.steering import backends
     from cowslipshift.steering import calls
     from cowslipshift.steering import inventory as inventories
+    from cowslipshift.steering import model
     from cowslipshift.steering import rollouts
     from cowslipshift.steering import serversignals
 
@@ -60,3 +61,19 @@
         return rollout is None or rollout.may_use(
             entry.version, call.uses_new_version
         )
+
+
+def intersect_regions(
+    route: model.Route, account: model.Account | None
+) -> frozenset[str] | None:
+    """Return the regions that may serve an account on a route.
+
+    Returns:
+        ``None`` for all regions.
+    """
+    limits = [frozenset(route.regions)] if route.regions else []
+    if account is not None and account.regions:
+        limits.append(frozenset(account.regions))
+    if not limits:
+        return None
+    return frozenset.intersection(*limits)
