Check a configuration for entries without effect and for differences

Operators could only learn whether a file of the own format is valid. The check takes the platform's format too, tells entries that can never match and limits that contradict each other, and lists what differs by entry and field. Warnings end with status 3, errors with 1.

--- a/src/cowslipshift/config/difference.py
+++ b/src/cowslipshift/config/difference.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from typing import Any
+from typing import TYPE_CHECKING
 
 import msgspec
 
@@ -11,6 +12,10 @@
 from cowslipshift.config import model
 from cowslipshift.config import validation
 
+if TYPE_CHECKING:
+    from collections.abc import Container
+    from collections.abc import Mapping
+
 _SCALARS = ("format", "revision", "change", "defaults")
 
 
@@ -109,22 +114,76 @@
     old: model.Configuration, new: model.Configuration
 ) -> list[str]:
     """List added (+), removed (-) and changed (~) entries, one per line."""
+    lines = list_entry_changes(
+        {"defaults": msgspec.to_builtins(old.defaults)},
+        {"defaults": msgspec.to_builtins(new.defaults)},
+    )
+    for section in model.SECTIONS:
+        lines += list_entry_changes(
+            _list_entries(old, section), _list_entries(new, section)
+        )
+    return lines
+
+
+def list_entry_changes(
+    before: Mapping[str, Mapping[str, Any]],
+    after: Mapping[str, Mapping[str, Any]],
+    secret_fields: Container[str] = (),
+) -> list[str]:
+    """List changed entries with their fields, one entry per line.
+
+    Args:
+        before: Fields of each entry by its path.
+        after: The same afterwards.
+        secret_fields: Lists of which only the number of changes is shown.
+    """
     lines = []
-    if old.defaults != new.defaults:
-        lines.append("~ defaults")
-    for section, field in model.SECTIONS.items():
-        before = {getattr(e, field): e for e in getattr(old, section)}
-        after = {getattr(e, field): e for e in getattr(new, section)}
-        for name in sorted(before.keys() | after.keys()):
-            if name not in after:
-                lines.append(f"- {section}[{name}]")
-            elif name not in before:
-                lines.append(f"+ {section}[{name}]")
-            elif before[name] != after[name]:
-                lines.append(f"~ {section}[{name}]")
+    for path in sorted(before.keys() | after.keys()):
+        if path not in after:
+            lines.append(f"- {path}")
+        elif path not in before:
+            lines.append(f"+ {path}")
+        elif before[path] != after[path]:
+            old, new = before[path], after[path]
+            fields = [
+                _describe_field(
+                    name, old.get(name), new.get(name), name in secret_fields
+                )
+                for name in dict.fromkeys([*old, *new])
+                if old.get(name) != new.get(name)
+            ]
+            lines.append(f"~ {path}: {', '.join(fields)}")
     return lines
 
 
+def _list_entries(
+    configuration: model.Configuration, section: str
+) -> dict[str, dict[str, Any]]:
+    field = model.SECTIONS[section]
+    return {
+        f"{section}[{getattr(entry, field)}]": msgspec.to_builtins(entry)
+        for entry in getattr(configuration, section)
+    }
+
+
+def _describe_field(name: str, old: Any, new: Any, is_secret: bool) -> str:
+    if not isinstance(old, list | tuple) or not isinstance(new, list | tuple):
+        return f"{name} {_format_value(old)} -> {_format_value(new)}"
+    added = [item for item in new if item not in old]
+    removed = [item for item in old if item not in new]
+    if not added and not removed:
+        return f"{name} in another order"
+    if is_secret:
+        return f"{name} {len(added)} added and {len(removed)} removed"
+    items = [f"+{_format_value(item)}" for item in added]
+    items += [f"-{_format_value(item)}" for item in removed]
+    return f"{name} {' '.join(items)}"
+
+
+def _format_value(value: Any) -> str:
+    return msgspec.json.encode(value).decode()
+
+
 def _replace_fields(
     old: model.Configuration, fields: dict[str, Any]
 ) -> model.Configuration:
--- a/src/cowslipshift/console/commands/config.py
+++ b/src/cowslipshift/console/commands/config.py
@@ -13,30 +13,57 @@
 from cowslipshift.config import difference
 from cowslipshift.config import document
 from cowslipshift.config import edits
+from cowslipshift.config import exceptions
+from cowslipshift.config import review
 from cowslipshift.console import fleetstatus
 from cowslipshift.console import output
 from cowslipshift.console import session
+from cowslipshift.platform import review as platform_review
 
 if TYPE_CHECKING:
+    from cowslipshift.config import findings
     from cowslipshift.config import model
 
+WARNING_EXIT_STATUS = 3
+
 
 class ConfigCommand:
     """Check, show, store and compare the configuration."""
 
-    def check(self, file: str, json: bool = False) -> None:
-        """Check a configuration file without using the store.
+    def check(
+        self, file: str, against: str | None = None, json: bool = False
+    ) -> None:
+        """Check a configuration file before it is sent.
+
+        The exit status is 0 if nothing was found, 3 if there are warnings,
+        and 1 if there are errors or the check could not be made. Nothing is
+        written.
 
         Args:
-            file: Path of the file, or - for standard input.
+            file: Path of the file, or - for standard input; a configuration
+                of the own format or of a platform.
+            against: What to compare it with: another file, or the address of
+                the store (ip:port, or base URLs separated by commas).
             json: Print JSON.
         """
-        configuration = read_file(file)
-        output.print_result(
-            {"valid": True, "revision": configuration.revision},
-            [f"{file} is valid"],
-            json,
-        )
+        result = review_file(file, against)
+        errors = result.count("error")
+        warnings = result.count("warning")
+        lines = [str(finding) for finding in result.findings]
+        if result.changes is not None:
+            lines += result.changes or ("no difference",)
+        lines += [f"not checked: {skipped}" for skipped in result.skipped]
+        if not errors:
+            lines.append(
+                f"{file} is valid"
+                + (f", with {warnings} warnings" if warnings else "")
+            )
+        value = {"valid": not errors, **msgspec.structs.asdict(result)}
+        output.print_result(value, lines, json)
+        if errors:
+            raise exceptions.ConfigurationError(f"{file} has {errors} errors")
+        if warnings:
+            sys.exit(WARNING_EXIT_STATUS)
 
     def show(self, store: str | None = None) -> None:
         """Print the stored configuration as JSON.
@@ -129,14 +156,53 @@
         UsageError: The file cannot be read.
         ConfigurationError: Its content is invalid.
     """
+    return document.decode_document(_read_bytes(file))
+
+
+def review_file(file: str, against: str | None) -> findings.Review:
+    """Check a configuration file of either form.
+
+    Args:
+        file: Path of the file, or ``-`` for standard input.
+        against: Path of another file of the same form, address of the store,
+            or ``None``.
+
+    Raises:
+        UsageError: A file cannot be read.
+        StoreError: The store did not answer.
+        ConfigurationError: The configuration to compare with is invalid.
+        MalformedEntryError: The same, on a platform.
+    """
+    raw = _read_bytes(file)
+    is_store = against is not None and _is_store(against)
+    if platform_review.is_platform_configuration(raw):
+        deployment = None
+        if against is not None and is_store:
+            deployment = asyncio.run(session.read_deployment(against))
+        elif against is not None:
+            deployment = platform_review.Deployment(
+                configuration=_read_bytes(against)
+            )
+        return platform_review.review_configuration(raw, deployment)
+    in_force = None
+    if against is not None and is_store:
+        in_force = asyncio.run(session.read_configuration(against))
+    elif against is not None:
+        in_force = read_file(against)
+    return review.review_document(raw, in_force, time.time())
+
+
+def _is_store(against: str) -> bool:
+    return ":" in against and not pathlib.Path(against).exists()
+
+
+def _read_bytes(file: str) -> bytes:
     try:
         if file == "-":
-            raw = sys.stdin.buffer.read()
-        else:
-            raw = pathlib.Path(file).read_bytes()
+            return sys.stdin.buffer.read()
+        return pathlib.Path(file).read_bytes()
     except OSError as error:
         raise session.UsageError(f"cannot read {file}: {error}") from error
-    return document.decode_document(raw)
 
 
 async def apply_edit(
--- a/src/cowslipshift/console/session.py
+++ b/src/cowslipshift/console/session.py
@@ -7,9 +7,12 @@
 import os
 from typing import TYPE_CHECKING
 
+from cowslipshift import bodies
 from cowslipshift import connections
 from cowslipshift import exceptions
 from cowslipshift.config import editor as editors
+from cowslipshift.platform import review
+from cowslipshift.platform import store as stores
 from cowslipshift.store import client as clients
 
 if TYPE_CHECKING:
@@ -77,3 +80,22 @@
     """
     async with open_editor(store) as editor:
         return (await editor.read()).configuration
+
+
+async def read_deployment(address: str) -> review.Deployment:
+    """Read the configuration and the servers from a platform's store.
+
+    Args:
+        address: ``ip:port`` of the store, or its base URL.
+
+    Raises:
+        StoreError: The store did not answer.
+    """
+    async with connections.open_control_session() as session:
+        store = stores.PlatformStore(
+            address.removeprefix("http://").rstrip("/"),
+            session,
+            lambda kind, outcome: None,
+            bodies.ByteBudget(bodies.MAX_CONTROL_BYTES),
+        )
+        return await review.read_deployment(store)
--- a/src/cowslipshift/platform/codec.py
+++ b/src/cowslipshift/platform/codec.py
@@ -12,6 +12,7 @@
 
 import msgspec
 
+from cowslipshift.config import document as documents
 from cowslipshift.platform import exceptions
 from cowslipshift.steering import model
 
@@ -28,12 +29,16 @@
 _WholeNumber = Annotated[int, msgspec.Meta(ge=0, le=MAX_WHOLE_NUMBER)]
 
 
-class _SplitEntry(msgspec.Struct):
+class SplitEntry(msgspec.Struct):
+    """A service of a split, as operators write it."""
+
     service: str
     weight: float
 
 
-class _Path(msgspec.Struct):
+class Path(msgspec.Struct):
+    """A route, as operators write it."""
+
     name: str
     prefix: str
     type: str
@@ -41,26 +46,32 @@
     target_latency_ms: float
     attempts: int
     service: str = ""
-    traffic_split: list[_SplitEntry] = []
+    traffic_split: list[SplitEntry] = []
     priority: int = 0
     public: bool = False
     session_affinity: bool = False
     allowed_regions: list[str] = []
 
 
-class _VirtualHost(msgspec.Struct):
+class VirtualHost(msgspec.Struct):
+    """A virtual host, as operators write it."""
+
     hostname: str
-    paths: list[_Path]
+    paths: list[Path]
 
 
-class _Service(msgspec.Struct):
+class Service(msgspec.Struct):
+    """A service, as operators write it."""
+
     name: str
     max_connections: int = 0
     cold_start_s: float = 0.0
     cold_per_s: float = 0.0
 
 
-class _Tenant(msgspec.Struct):
+class Tenant(msgspec.Struct):
+    """A client account, as operators write it."""
+
     name: str
     api_keys: list[str] = []
     priority: int = 0
@@ -69,19 +80,23 @@
     allowed_regions: list[str] = []
 
 
-class _Limits(msgspec.Struct):
+class Limits(msgspec.Struct):
+    """Limits of client requests, as operators write them."""
+
     max_header_bytes: int = 16_384
     max_body_bytes: int = 64 * 1024 * 1024
     header_timeout_ms: float = 3000
     idle_timeout_ms: float = 15000
 
 
-class _Config(msgspec.Struct):
+class Document(msgspec.Struct):
+    """The configuration, as operators write it."""
+
     version: str
-    virtual_hosts: list[_VirtualHost]
-    services: list[_Service]
-    tenants: list[_Tenant] = []
-    limits: _Limits = msgspec.field(default_factory=_Limits)
+    virtual_hosts: list[VirtualHost]
+    services: list[Service]
+    tenants: list[Tenant] = []
+    limits: Limits = msgspec.field(default_factory=Limits)
 
 
 class _Info(msgspec.Struct):
@@ -118,7 +133,25 @@
     Raises:
         MalformedEntryError: The entry is not a valid configuration.
     """
-    config = _decode(raw, _Config, "configuration")
+    return build_configuration(decode_document(raw))
+
+
+def decode_document(raw: bytes) -> Document:
+    """Decode the operators' form of the configuration.
+
+    Raises:
+        MalformedEntryError: A field is missing or has another type.
+    """
+    document: Document = _decode(raw, Document, "configuration")
+    return document
+
+
+def build_configuration(config: Document) -> model.Configuration:
+    """Translate the operators' form of the configuration.
+
+    Raises:
+        MalformedEntryError: The version or the type of a route is unknown.
+    """
     routes = tuple(
         _build_route(host.hostname, path)
         for host in config.virtual_hosts
@@ -139,7 +172,8 @@
         version = int(config.version, 16)
     except ValueError as error:
         raise exceptions.MalformedEntryError(
-            f"configuration version '{config.version}' is not hexadecimal"
+            f"configuration version '{config.version}' is not hexadecimal",
+            "$.version",
         ) from error
     return model.Configuration(
         version=version,
@@ -220,10 +254,11 @@
     return msgspec.json.encode({"state": state, "target_version": version})
 
 
-def _build_route(hostname: str, path: _Path) -> model.Route:
+def _build_route(hostname: str, path: Path) -> model.Route:
     if path.type not in ("idempotent", "non_idempotent"):
         raise exceptions.MalformedEntryError(
-            f"route '{path.name}' has the unknown type '{path.type}'"
+            f"route '{path.name}' has the unknown type '{path.type}'",
+            f"virtual_hosts[{hostname}].paths[{path.name}].type",
         )
     weighted_services = tuple(
         model.WeightedService(p.service, p.weight) for p in path.traffic_split
@@ -265,5 +300,6 @@
         return msgspec.json.decode(raw, type=kind)
     except (msgspec.DecodeError, ValueError, RecursionError) as error:
         raise exceptions.MalformedEntryError(
-            f"the {what} is malformed: {error}"
+            f"the {what} is malformed: {error}",
+            documents.describe_decode_error(str(error)).path,
         ) from error
--- a/src/cowslipshift/platform/exceptions.py
+++ b/src/cowslipshift/platform/exceptions.py
@@ -12,6 +12,14 @@
 
 
 class MalformedEntryError(exceptions.CowslipshiftError):
-    """An entry of the store does not have the format that its key implies."""
+    """An entry of the store does not have the format that its key implies.
+
+    Attributes:
+        path: Path of the field; ``$`` for the whole entry.
+    """
 
     code = "platform_entry_malformed"
+
+    def __init__(self, message: str, path: str = "$") -> None:
+        super().__init__(message)
+        self.path = path
