Test the check of a configuration and describe its codes

Floats without a fraction are shown as whole numbers in differences, as they are written. A key that two accounts have says which one loses it.

--- a/src/cowslipshift/config/difference.py
+++ b/src/cowslipshift/config/difference.py
@@ -181,6 +181,8 @@
 
 
 def _format_value(value: Any) -> str:
+    if isinstance(value, float) and value.is_integer():
+        value = int(value)
     return msgspec.json.encode(value).decode()
 
 
--- a/src/cowslipshift/platform/review.py
+++ b/src/cowslipshift/platform/review.py
@@ -199,7 +199,7 @@
                     "error",
                     "key_repeated",
                     f"tenants[{tenant.name}].api_keys",
-                    f"has a key of tenants[{owner}]",
+                    f"has a key of tenants[{owner}], which loses it",
                 )
 
 
--- a/src/cowslipshift/steering/inspection.py
+++ b/src/cowslipshift/steering/inspection.py
@@ -148,7 +148,8 @@
             yield _warn(
                 "part_unused",
                 subject.locate(path, "weighted_services"),
-                f"'{entry.service}' gets no request: its weight is 0",
+                f"the part of '{entry.service}' with the weight 0 gets no "
+                "request",
             )
     if all(entry.weight <= 0.0 for entry in used):
         yield _warn(
--- a/tests/console/test_commands.py
+++ b/tests/console/test_commands.py
@@ -3,15 +3,17 @@
 from __future__ import annotations
 
 import json
+import pathlib
 import subprocess
 import sys
 from typing import TYPE_CHECKING
 
 import pytest
 
+from cowslipshift.standins import platformfleet
+
 if TYPE_CHECKING:
     from collections.abc import Iterator
-    import pathlib
 
 EXAMPLE = "docs/examples/small.json"
 
@@ -123,3 +125,30 @@
         assert "Traceback" not in result.stderr
     unreachable = run("http://127.0.0.1:1", "config", "show")
     assert "store_unavailable" in unreachable.stderr
+
+
+def test_check_tells_what_it_found_by_its_exit_status(
+    store: str, tmp_path: pathlib.Path
+) -> None:
+    assert run(store, "config", "check", EXAMPLE).returncode == 0
+    run(store, "config", "put", EXAMPLE, "--reason", "first day")
+    file = tmp_path / "changed.json"
+    text = pathlib.Path(EXAMPLE).read_text()
+    file.write_text(text.replace('"active"', '"leaving"'))
+    command = ["config", "check", str(file), "--against"]
+    for against in (store, EXAMPLE):
+        warned = run(store, *command, against)
+        assert warned.returncode == 3, warned.stderr
+        assert "[service_without_servers]" in warned.stdout
+        assert '~ servers[sheets-1]: state "active"' in warned.stdout
+    file.write_text(text.replace('"slots": 4', '"slots": 0'))
+    invalid = run(store, *command, EXAMPLE, "--json")
+    assert (invalid.returncode, invalid.stderr[:30]) == (
+        1,
+        "cowslipshift: [config_invalid]",
+    )
+    (finding,) = json.loads(invalid.stdout)["findings"]
+    assert finding["path"] == "servers[sheets-1].slots"
+    file.write_bytes(platformfleet.build_config(2))
+    assert run(store, *command, str(file)).returncode == 0
+    assert "store_unavailable" in run(store, *command, "127.0.0.1:1").stderr
--- a/tests/steering/test_routes.py
+++ b/tests/steering/test_routes.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+import collections
+
 import pytest
 from tests import builders
 
 from cowslipshift.steering import changes
 from cowslipshift.steering import model
+from cowslipshift.steering import splits
 
 ORDERS = builders.build_route(
     name="entries",
@@ -117,3 +120,20 @@
     )
     balancer = build_balancer(builders.build_route(), second)
     assert choose_service(balancer, "tills.example", "/sheets/1") == "sheets"
+
+
+@pytest.mark.parametrize(
+    ("weights", "counts"),
+    [
+        ({"a": 3.0, "b": 1.0}, {"a": 30, "b": 10}),
+        ({"a": 0.0, "b": 3.0, "c": 1.0}, {"b": 30, "c": 10}),
+        ({"a": 0.0, "b": 0.0}, {"a": 40}),
+        ({"a": 0.0}, {"a": 40}),
+        ({"a": 1.0, "b": -1.0}, {"a": 40}),
+    ],
+)
+def test_services_without_weight_get_no_requests(weights, counts) -> None:
+    weighted = tuple(model.WeightedService(s, w) for s, w in weights.items())
+    splitter = splits.Splitter(weighted)
+    chosen = [splitter.choose_service() for _ in range(40)]
+    assert collections.Counter(chosen) == counts
