--- a/src/cowslipshift/config/inspection.py
+++ b/src/cowslipshift/config/inspection.py
@@ -66,6 +66,6 @@
             "warning",
             "quota_above_capacity",
             account.quota_path,
-            f"{account.quota:g} {account.unit} are more than the "
-            f"{account.capacity:g} that the servers are good for",
+            f"{account.quota:g} {account.unit} exceed the "
+            f"{account.capacity:g} that its servers can take",
         )
--- a/src/cowslipshift/console/commands/config.py
+++ b/src/cowslipshift/console/commands/config.py
@@ -54,14 +54,12 @@
             lines += result.changes or ("no difference",)
         lines += [f"not checked: {skipped}" for skipped in result.skipped]
         if not errors:
-            lines.append(
-                f"{file} is valid"
-                + (f", with {warnings} warnings" if warnings else "")
-            )
+            suffix = f", warnings: {warnings}" if warnings else ""
+            lines.append(f"{file} is valid{suffix}")
         value = {"valid": not errors, **msgspec.structs.asdict(result)}
         output.print_result(value, lines, json)
         if errors:
-            raise exceptions.ConfigurationError(f"{file} has {errors} errors")
+            raise exceptions.ConfigurationError(f"{file} has errors: {errors}")
         if warnings:
             sys.exit(WARNING_EXIT_STATUS)
 
--- a/src/cowslipshift/steering/inspection.py
+++ b/src/cowslipshift/steering/inspection.py
@@ -233,8 +233,8 @@
         yield _warn(
             "connections_below_slots",
             subject.locate(path, "connection_limit"),
-            f"{service.connection_limit} connections leave slots of a server "
-            f"with {slots} empty",
+            f"{service.connection_limit} connections cannot fill the {slots} "
+            "slots of a server",
         )
 
 
