Print the logs of a failed test's hosts

A failed test now prints the last 20,000 bytes of each log in its `tmp_path`, standard output and standard error of the host.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -2,12 +2,16 @@
 
 import os
 import pathlib
+from typing import TYPE_CHECKING
 
 from hypothesis import HealthCheck
 from hypothesis import Phase
 from hypothesis import settings
 import pytest
 
+if TYPE_CHECKING:
+    from collections.abc import Generator
+
 MAX_EXAMPLES = int(os.environ.get("COWSLIPSHIFT_FUZZ_EXAMPLES", "300"))
 
 settings.register_profile(
@@ -23,6 +27,9 @@
 )
 settings.load_profile("fixed")
 
+MAX_LOG_BYTES = 20_000
+"""Bytes of each host's log that a failed test prints, the last ones."""
+
 KNOWN_RED = pathlib.Path(__file__).parents[1] / "KNOWN-RED.txt"
 
 
@@ -35,3 +42,19 @@
     for item in items:
         if item.nodeid in known:
             item.add_marker(pytest.mark.xfail(reason="in KNOWN-RED.txt"))
+
+
+@pytest.hookimpl(wrapper=True)
+def pytest_runtest_makereport(
+    item: pytest.Item,
+) -> Generator[None, pytest.TestReport, pytest.TestReport]:
+    """Print the logs of a failed test's hosts, as its folder may be gone."""
+    report = yield
+    folder = getattr(item, "funcargs", {}).get("tmp_path")
+    if report.failed and folder is not None:
+        for path in sorted(folder.glob("*.log")):
+            tail = path.read_bytes()[-MAX_LOG_BYTES:]
+            report.sections.append(
+                (f"Log of host {path.stem}", tail.decode(errors="replace"))
+            )
+    return report
