End with status 0 when the stop signal comes just after the start

What operators saw: a host that was stopped as it had just started ended with status 1 and a traceback (also with 70), for both programs. Cause: once its services have started, the entry point of aiomisc replaces the handlers of SIGTERM and SIGINT by its own until the host waits for signals. One that arrives in between shuts the services down beside the host, stops the event loop under it and cancels its wait. Change: one handler stands from the first line of the program to its end, no other code sets any; after the first signal further ones are ignored, also while the interpreter ends.

--- a/src/cowslipshift/daemon/main.py
+++ b/src/cowslipshift/daemon/main.py
@@ -69,7 +69,7 @@
         log_config=False,
         pool_size=2,
         loop_factory=uvloop.new_event_loop,
-        catch_signals=supervision.STOP_SIGNALS,
+        catch_signals=(),
         shutdown_timeout=settings.drain_s + SHUTDOWN_MARGIN_S,
     ) as loop:
         loop.run_until_complete(stop_signals.wait(loop, handler))
--- a/src/cowslipshift/edge/main.py
+++ b/src/cowslipshift/edge/main.py
@@ -35,7 +35,7 @@
         log_config=False,
         pool_size=1,
         loop_factory=uvloop.new_event_loop,
-        catch_signals=supervision.STOP_SIGNALS,
+        catch_signals=(),
         shutdown_timeout=bounds.grace_s + SHUTDOWN_MARGIN_S,
     ) as loop:
         loop.add_signal_handler(
--- a/src/cowslipshift/supervision.py
+++ b/src/cowslipshift/supervision.py
@@ -5,6 +5,7 @@
 import asyncio
 import collections
 import contextlib
+import functools
 import os
 import signal
 from typing import Any
@@ -77,26 +78,35 @@
     """The signals that stop the process, from its first line to its end.
 
     By default they end a process at once, also one that has not yet begun to
-    wait for them, and one that is already stopping gracefully.
+    wait for them, and one that is already stopping gracefully. No other code
+    may handle them, such as that of an event loop or of its services: one
+    that arrives while its handler is replaced would end the process.
     """
 
     def __init__(self) -> None:
         self._has_arrived = False
+        self._wake: Callable[[], object] | None = None
         for signal_number in STOP_SIGNALS:
             signal.signal(signal_number, self._note)
 
     async def wait(
         self, loop: asyncio.AbstractEventLoop, handler: logs.LineHandler
     ) -> None:
-        """Flush log lines at an interval until a signal arrives."""
+        """Flush log lines at an interval until a signal arrives.
+
+        Later signals are ignored until the process has ended.
+        """
         stopped = asyncio.Event()
-        for signal_number in STOP_SIGNALS:
-            loop.add_signal_handler(signal_number, stopped.set)
-        while not stopped.is_set() and not self._has_arrived:
+        self._wake = functools.partial(loop.call_soon_threadsafe, stopped.set)
+        while not self._has_arrived:
             handler.flush()
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(logs.FLUSH_INTERVAL_S):
                     await stopped.wait()
+        for signal_number in STOP_SIGNALS:
+            signal.signal(signal_number, signal.SIG_IGN)
 
     def _note(self, *_: object) -> None:
         self._has_arrived = True
+        if self._wake is not None:
+            self._wake()
--- a/tests/edge/daemons.py
+++ b/tests/edge/daemons.py
@@ -41,12 +41,14 @@
     Attributes:
         bounds: More entries of the bounds, each with a comma before it.
         tables: More tables of the settings.
+        program: Arguments of the interpreter that run the host.
     """
 
     def __init__(self, fleet: platformfleet.PlatformFleet) -> None:
         self.fleet = fleet
         self.front = ""
         self.bounds = self.tables = ""
+        self.program = ("-m", "cowslipshift.edge.main")
         self.log = pathlib.Path()
         self.process: asyncio.subprocess.Process | None = None
 
@@ -83,8 +85,7 @@
         with self.log.open("wb") as output:
             self.process = await asyncio.create_subprocess_exec(
                 sys.executable,
-                "-m",
-                "cowslipshift.edge.main",
+                *self.program,
                 stdout=output,
                 stderr=output,
                 env={
--- a/tests/edge/test_planned_stop.py
+++ b/tests/edge/test_planned_stop.py
@@ -206,6 +206,54 @@
     assert b"Traceback" not in started.log.read_bytes()
 
 
+STOPS_ITSELF = """
+import os
+import signal
+import aiomisc
+from cowslipshift.edge import main
+
+class Entrypoint(aiomisc.entrypoint):
+    def __enter__(self):
+        self.send_signal("before_start")
+        loop = super().__enter__()
+        self.send_signal("after_start")
+        return loop
+
+    def __exit__(self, *error):
+        self.send_signal("before_stop")
+        super().__exit__(*error)
+        self.send_signal("after_stop")
+
+    def send_signal(self, moment):
+        if moment in {moments}:
+            os.kill(os.getpid(), signal.SIGTERM)
+
+aiomisc.entrypoint = Entrypoint
+main.main()
+"""
+
+
+# Guards against a signal that another handler gets between the start of the
+# services and the wait for signals, and that ends the process with status 1.
+@pytest.mark.parametrize(
+    "moments",
+    [
+        ["before_start"],
+        ["after_start"],
+        ["before_start", "after_start", "before_stop", "after_stop"],
+    ],
+)
+async def test_stop_around_the_start_of_the_services_ends_with_zero(
+    fleet, tmp_path, moments
+) -> None:
+    started = daemons.Daemon(fleet)
+    started.program = ("-c", STOPS_ITSELF.replace("{moments}", str(moments)))
+    await started.start(tmp_path, "early", "north-a")
+    async with asyncio.timeout(10.0):
+        assert await started.process.wait() == 0
+    assert b"Traceback" not in started.log.read_bytes()
+
+
 LONG_GRACE_S = 6.0
 LATE_S = 2.8
 """A time at which a host that stops still takes requests."""
