Release the ports of a fleet when it closes

What developers saw: NoPortError in all tests after some 12 runs of 35 fleets in one process. Cause: each reserved port was kept until the process ended; rows of ports that did not fit kept the part that was free, too. Change: fleets, of a platform and of the own interface, own their ports and those of their daemons, and release them as the last step of closing, when the listeners are gone and the processes have ended. A port has one owner as before: the lock of its file is held until then, and a port that something still uses is passed over. A test of a configuration that nobody serves reserves no ports any more.

--- a/src/cowslipshift/standins/deployments.py
+++ b/src/cowslipshift/standins/deployments.py
@@ -88,9 +88,18 @@
 class PortAllocator:
     """Allocates ports of this machine, each at most once."""
 
+    def __init__(self) -> None:
+        self._ports: list[int] = []
+
     def allocate(self) -> int:
         """Return a port that nobody else has."""
-        return portreservations.reserve_ports(1)[0]
+        self._ports += portreservations.reserve_ports(1)
+        return self._ports[-1]
+
+    def release(self) -> None:
+        """Release all ports, once nothing uses them any more."""
+        portreservations.release_ports(self._ports)
+        self._ports.clear()
 
 
 def build_configuration(
--- a/src/cowslipshift/standins/localfleet.py
+++ b/src/cowslipshift/standins/localfleet.py
@@ -270,7 +270,7 @@
             return await process.wait()
 
     async def close(self) -> None:
-        """Kill all processes, paused ones too, and close the session."""
+        """Kill all processes, paused ones too, and release the ports."""
         for process in self._processes.values():
             with contextlib.suppress(ProcessLookupError):
                 process.send_signal(signal.SIGCONT)
@@ -279,6 +279,7 @@
         self._processes.clear()
         if self._session is not None:
             await self._session.close()
+        self.ports.release()
 
     async def _are_settled(self, names: list[str]) -> bool:
         for name in names:
--- a/src/cowslipshift/standins/platformfleet.py
+++ b/src/cowslipshift/standins/platformfleet.py
@@ -129,6 +129,7 @@
         ] = {}
         self._counts = (hosts, backends)
         self._runners: list[web.AppRunner] = []
+        self._ports: list[int] = []
         self._lease_task: asyncio.Task[None] | None = None
         self.session = aiohttp.ClientSession()
 
@@ -147,7 +148,7 @@
         return self
 
     async def __aexit__(self, *_: object) -> None:
-        """Stop all components."""
+        """Stop all components and release all ports."""
         for host in list(self.hosts):
             await self.kill_host(host)
         if self._lease_task is not None:
@@ -157,6 +158,19 @@
         await self.session.close()
         for runner in self._runners:
             await runner.cleanup()
+        portreservations.release_ports(self._ports)
+        self._ports.clear()
+
+    def reserve_ports(self, count: int, consecutive: int = 1) -> list[int]:
+        """Reserve ports until this fleet closes.
+
+        Args:
+            count: Number of ports.
+            consecutive: How many of them, the first ones, follow each other.
+        """
+        ports = portreservations.reserve_ports(count, consecutive)
+        self._ports += ports
+        return ports
 
     async def add_backend(
         self, service: str, data_centre: str, version: str = "v1"
@@ -234,7 +248,7 @@
     async def add_host(self, data_centre: str) -> edge_service.EdgeService:
         """Start a host that uses a port of the store of its own."""
         store_address = await self.open_store_port()
-        ports = portreservations.reserve_ports(5, consecutive=2)
+        ports = self.reserve_ports(5, consecutive=2)
         settings = platform_settings.HostSettings(
             node_name=f"host-{len(self.hosts) + 1}",
             ip="127.0.0.1",
@@ -346,7 +360,7 @@
         )
         await runner.setup()
         self._runners.append(runner)
-        port = portreservations.reserve_ports(1)[0]
+        port = self.reserve_ports(1)[0]
         await web.TCPSite(runner, "127.0.0.1", port).start()
         return f"127.0.0.1:{port}"
 
--- a/src/cowslipshift/standins/portreservations.py
+++ b/src/cowslipshift/standins/portreservations.py
@@ -1,4 +1,4 @@
-"""Ports of this machine that belong to one process until it ends.
+"""Ports of this machine that belong to one process until it releases them.
 
 A port that is free when it is chosen may be taken before it is used, by
 another fleet or for an outgoing connection; a host that is started again
@@ -9,11 +9,16 @@
 from __future__ import annotations
 
 import fcntl
+import itertools
 import pathlib
 import random
 import socket
 import tempfile
 from typing import IO
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
 
 FIRST_PORT = 10_000
 LAST_PORT = 32_000
@@ -30,7 +35,7 @@
 
 
 def reserve_ports(count: int, consecutive: int = 1) -> list[int]:
-    """Reserve free ports for this process.
+    """Reserve free ports for this process until it releases them or ends.
 
     Args:
         count: Number of ports.
@@ -45,12 +50,24 @@
     return ports[:count]
 
 
+def release_ports(ports: Iterable[int]) -> None:
+    """Release reserved ports, once nothing uses them any more.
+
+    Args:
+        ports: Ports that this process has reserved.
+    """
+    for port in ports:
+        _locks.pop(port).close()
+
+
 def _reserve_row(length: int) -> list[int]:
     for _ in range(MAX_TRIES):
         first = random.randrange(FIRST_PORT, LAST_PORT - length)
         row = list(range(first, first + length))
-        if all(_lock(port) for port in row):
+        locked = list(itertools.takewhile(_lock, row))
+        if locked == row:
             return row
+        release_ports(locked)
     raise NoPortError(f"no free port in {MAX_TRIES} tries")
 
 
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -47,6 +47,7 @@
     """Ports of configurations that nobody serves."""
 
     def __init__(self) -> None:
+        super().__init__()
         self._last = portreservations.FIRST_PORT
 
     def allocate(self) -> int:
--- a/tests/edge/daemons.py
+++ b/tests/edge/daemons.py
@@ -11,7 +11,6 @@
 from cowslipshift.platform import names
 from cowslipshift.platform import settings as platform_settings
 from cowslipshift.standins import platformfleet
-from cowslipshift.standins import portreservations
 
 SETTINGS = """\
 node_name = "{name}"
@@ -59,7 +58,7 @@
         centre: str,
         more_settings: str = "",
     ) -> None:
-        ports = portreservations.reserve_ports(5, consecutive=2)
+        ports = self.fleet.reserve_ports(5, consecutive=2)
         store = await self.fleet.open_store_port()
         self.front = f"127.0.0.1:{ports[2]}"
         self.ready = f"127.0.0.1:{ports[3]}"
--- a/tests/system/test_changes.py
+++ b/tests/system/test_changes.py
@@ -268,6 +268,6 @@
     from cowslipshift.config import validation
 
     configuration = deployments.build_configuration(
-        deployments.ANDINA, deployments.PortAllocator()
+        deployments.ANDINA, builders.UnreservedPorts()
     )
     assert not list(validation.find_faults(configuration))
