Let the emulator depend on the emulated fleet only

`bench/emulator` and `bench/emulatedfleet` imported each other: the fleet needed the deployment and the attempts that wait at a server. Both are with the fleet now; the emulator has the events.

--- a/bench/balancing.py
+++ b/bench/balancing.py
@@ -61,7 +61,7 @@
     }
 
 
-def build_deployment(hosts: int, load: float) -> emulator.Deployment:
+def build_deployment(hosts: int, load: float) -> emulatedfleet.Deployment:
     """Build a deployment whose work has a tail and whose pace is noisy.
 
     Args:
@@ -77,7 +77,7 @@
     )
     slots, warm_factor = 9, 0.3
     work_s = warm_factor * sum(k.share * k.service_s for k in kinds)
-    return emulator.Deployment(
+    return emulatedfleet.Deployment(
         backends={
             region: max(1, round(share * servers))
             for region, share in REGION_SHARES.items()
@@ -98,7 +98,7 @@
 
 def run_policy(
     policy: str,
-    deployment: emulator.Deployment,
+    deployment: emulatedfleet.Deployment,
     seeds: int,
     length_s: float,
 ) -> dict[str, float]:
@@ -113,7 +113,7 @@
             results.append(emulated.run(length_s))
     return {
         name: round(statistics.fmean(getattr(r, name) for r in results), 4)
-        for name in emulator.Result.__struct_fields__
+        for name in emulatedfleet.Result.__struct_fields__
     }
 
 
--- a/bench/emulatedfleet.py
+++ b/bench/emulatedfleet.py
@@ -1,4 +1,4 @@
-"""Hosts, servers and routes of an emulated deployment."""
+"""Deployment, hosts, servers and routes that are emulated."""
 
 from __future__ import annotations
 
@@ -16,7 +16,7 @@
 from cowslipshift.steering import model
 
 if TYPE_CHECKING:
-    from bench import emulator
+    from cowslipshift.steering import calls
 
 SERVICE = "sheets"
 
@@ -58,6 +58,71 @@
     period_s: float
 
 
+class Deployment(msgspec.Struct, frozen=True):
+    """A deployment and its load.
+
+    Attributes:
+        backends: Backend servers by region.
+        hosts: Hosts by region.
+        slots: Slots of a server.
+        queue: Requests that may wait at a server.
+        warm_objects: Objects that stay warm at a server.
+        objects: Distinct objects of each region.
+        requests_per_s: Mean requests per second of each region.
+        service_s: Service time of a request for a cold object.
+        warm_factor: Fraction of that time for a warm object.
+        target_s: Target latency; an answer within it earns full credit.
+        timeout_s: Timeout; an answer after it earns no credit.
+        slow_server: Name of a server that takes five times as long, with the
+            start and end of that period in seconds, or ``None``.
+        kinds: Requests by route; one route of the figures above if empty.
+        tail_share: Share of the requests whose work has a long tail.
+        tail_factor: How many times the work of others it is.
+        noise: How the pace of the servers changes, if it does.
+        is_pace_stated: Whether the servers state their pace.
+        heartbeat_s: Interval at which hosts tell each other loads, and time
+            that this takes; 0 if they do not.
+    """
+
+    backends: dict[str, int]
+    hosts: dict[str, int]
+    slots: int = 5
+    queue: int = 15
+    warm_objects: int = 29
+    objects: int = 28
+    requests_per_s: float = 47.0
+    service_s: float = 0.64
+    warm_factor: float = 0.3
+    target_s: float = 0.4
+    timeout_s: float = 1.0
+    slow_server: tuple[str, float, float] | None = None
+    kinds: tuple[Kind, ...] = ()
+    tail_share: float = 0.0
+    tail_factor: float = 7.0
+    noise: Noise | None = None
+    is_pace_stated: bool = False
+    heartbeat_s: float = 0.0
+
+    def list_kinds(self) -> tuple[Kind, ...]:
+        """Return the kinds of requests."""
+        return self.kinds or (
+            Kind(
+                "read",
+                1.0,
+                self.objects,
+                self.service_s,
+                self.target_s,
+                self.timeout_s,
+            ),
+        )
+
+
+UNEVEN = Deployment(
+    backends={"north": 6, "south": 2, "west": 4},
+    hosts={"north": 4, "south": 3, "west": 3},
+)
+
+
 class Result(msgspec.Struct):
     """Outcomes of the requests, as fractions of their number.
 
@@ -92,6 +157,24 @@
     cost_error: float = 0.0
 
 
+class Attempt(msgspec.Struct, eq=False):
+    """An attempt under way.
+
+    Attributes:
+        work_s: Its true work at the usual pace.
+    """
+
+    call: calls.Call
+    choice: calls.Choice
+    balancer: balancers.Balancer
+    region: str
+    arrived_s: float
+    sent_s: float
+    attempt_number: int = 1
+    is_finished: bool = False
+    work_s: float = 0.0
+
+
 class Server:
     """Queue, warm objects and pace of one emulated backend server.
 
@@ -108,7 +191,7 @@
         self.region = region
         self.in_flight = 0
         self.busy_s = 0.0
-        self.waiting: collections.deque[emulator.Attempt] = collections.deque()
+        self.waiting: collections.deque[Attempt] = collections.deque()
         self.warm_objects: collections.OrderedDict[tuple[str, str], None] = (
             collections.OrderedDict()
         )
@@ -132,7 +215,7 @@
 
 
 def build_hosts(
-    deployment: emulator.Deployment,
+    deployment: Deployment,
 ) -> dict[str, list[balancers.Balancer]]:
     """Return the balancers of all hosts by region."""
     routes = tuple(_build_route(kind) for kind in deployment.list_kinds())
@@ -193,7 +276,7 @@
     return hosts
 
 
-def list_servers(deployment: emulator.Deployment) -> list[tuple[str, str]]:
+def list_servers(deployment: Deployment) -> list[tuple[str, str]]:
     """Return id and region of each server."""
     return [
         (f"{region}-{number}", region)
--- a/bench/emulator.py
+++ b/bench/emulator.py
@@ -15,8 +15,6 @@
 import statistics
 from typing import TYPE_CHECKING
 
-import msgspec
-
 from bench import emulatedfleet
 from cowslipshift.steering import calls
 from cowslipshift.workload import reports
@@ -33,92 +31,6 @@
 WAVE_AMPLITUDE = 0.55
 
 
-class Deployment(msgspec.Struct, frozen=True):
-    """A deployment and its load.
-
-    Attributes:
-        backends: Backend servers by region.
-        hosts: Hosts by region.
-        slots: Slots of a server.
-        queue: Requests that may wait at a server.
-        warm_objects: Objects that stay warm at a server.
-        objects: Distinct objects of each region.
-        requests_per_s: Mean requests per second of each region.
-        service_s: Service time of a request for a cold object.
-        warm_factor: Fraction of that time for a warm object.
-        target_s: Target latency; an answer within it earns full credit.
-        timeout_s: Timeout; an answer after it earns no credit.
-        slow_server: Name of a server that takes five times as long, with the
-            start and end of that period in seconds, or ``None``.
-        kinds: Requests by route; one route of the figures above if empty.
-        tail_share: Share of the requests whose work has a long tail.
-        tail_factor: How many times the work of others it is.
-        noise: How the pace of the servers changes, if it does.
-        is_pace_stated: Whether the servers state their pace.
-        heartbeat_s: Interval at which hosts tell each other loads, and time
-            that this takes; 0 if they do not.
-    """
-
-    backends: dict[str, int]
-    hosts: dict[str, int]
-    slots: int = 5
-    queue: int = 15
-    warm_objects: int = 29
-    objects: int = 28
-    requests_per_s: float = 47.0
-    service_s: float = 0.64
-    warm_factor: float = 0.3
-    target_s: float = 0.4
-    timeout_s: float = 1.0
-    slow_server: tuple[str, float, float] | None = None
-    kinds: tuple[emulatedfleet.Kind, ...] = ()
-    tail_share: float = 0.0
-    tail_factor: float = 7.0
-    noise: emulatedfleet.Noise | None = None
-    is_pace_stated: bool = False
-    heartbeat_s: float = 0.0
-
-    def list_kinds(self) -> tuple[emulatedfleet.Kind, ...]:
-        """Return the kinds of requests."""
-        return self.kinds or (
-            emulatedfleet.Kind(
-                "read",
-                1.0,
-                self.objects,
-                self.service_s,
-                self.target_s,
-                self.timeout_s,
-            ),
-        )
-
-
-UNEVEN = Deployment(
-    backends={"north": 6, "south": 2, "west": 4},
-    hosts={"north": 4, "south": 3, "west": 3},
-)
-
-
-Result = emulatedfleet.Result
-
-
-class Attempt(msgspec.Struct, eq=False):
-    """An attempt under way.
-
-    Attributes:
-        work_s: Its true work at the usual pace.
-    """
-
-    call: calls.Call
-    choice: calls.Choice
-    balancer: balancers.Balancer
-    region: str
-    arrived_s: float
-    sent_s: float
-    attempt_number: int = 1
-    is_finished: bool = False
-    work_s: float = 0.0
-
-
 class Emulator:
     """Event-driven simulation of one deployment and its load.
 
@@ -130,7 +42,9 @@
         hosts: Balancers of the hosts by region.
     """
 
-    def __init__(self, deployment: Deployment, seed: int) -> None:
+    def __init__(
+        self, deployment: emulatedfleet.Deployment, seed: int
+    ) -> None:
         self._deployment = deployment
         self._random = random.Random(seed)
         self._events: list[tuple[float, int, Callable[[], None]]] = []
@@ -149,7 +63,7 @@
         self._times_s: list[float] = []
         self._cost_errors: list[float] = []
 
-    def run(self, length_s: float) -> Result:
+    def run(self, length_s: float) -> emulatedfleet.Result:
         """Emulate clients for ``length_s`` seconds and return the outcomes."""
         for region in self._regions:
             self._schedule(
@@ -243,7 +157,7 @@
         if attempt_number > 1 and not balancer.try_retry(call.service):
             self._refuse(call, region)
             return
-        attempt = Attempt(
+        attempt = emulatedfleet.Attempt(
             call,
             choice,
             balancer,
@@ -263,7 +177,9 @@
         )
         self._schedule(call.deadline_s, lambda: self._give_up(attempt, server))
 
-    def _arrive(self, attempt: Attempt, server: emulatedfleet.Server) -> None:
+    def _arrive(
+        self, attempt: emulatedfleet.Attempt, server: emulatedfleet.Server
+    ) -> None:
         if server.in_flight < self._deployment.slots:
             self._start(attempt, server)
         elif len(server.waiting) < self._deployment.queue:
@@ -281,7 +197,9 @@
                 attempt.attempt_number + 1,
             )
 
-    def _start(self, attempt: Attempt, server: emulatedfleet.Server) -> None:
+    def _start(
+        self, attempt: emulatedfleet.Attempt, server: emulatedfleet.Server
+    ) -> None:
         server.in_flight += 1
         deployment = self._deployment
         route = attempt.call.route.name
@@ -313,7 +231,9 @@
             self._now + service_s, lambda: self._finish(attempt, server)
         )
 
-    def _finish(self, attempt: Attempt, server: emulatedfleet.Server) -> None:
+    def _finish(
+        self, attempt: emulatedfleet.Attempt, server: emulatedfleet.Server
+    ) -> None:
         server.in_flight -= 1
         while server.waiting and server.in_flight < self._deployment.slots:
             queued = server.waiting.popleft()
@@ -350,7 +270,9 @@
         if attempt.arrived_s < 4.0:
             self._counts["first"] += is_in_time
 
-    def _give_up(self, attempt: Attempt, server: emulatedfleet.Server) -> None:
+    def _give_up(
+        self, attempt: emulatedfleet.Attempt, server: emulatedfleet.Server
+    ) -> None:
         if not attempt.is_finished:
             self._end(attempt)
             self._times_s.append(attempt.call.route.timeout_s)
@@ -360,7 +282,7 @@
         self._times_s.append(call.route.timeout_s)
         self._count("refused", region)
 
-    def _end(self, attempt: Attempt) -> None:
+    def _end(self, attempt: emulatedfleet.Attempt) -> None:
         attempt.is_finished = True
         attempt.balancer.record_ended(attempt.call, attempt.choice)
 
@@ -370,12 +292,12 @@
         if outcome == "requests" and self._now < 4.0:
             self._counts["first requests"] += 1
 
-    def _sum_up(self) -> Result:
+    def _sum_up(self) -> emulatedfleet.Result:
         counts = self._counts
         total = max(1, counts["requests"])
         busy_s = [server.busy_s for server in self._servers.values()]
         times_s = sorted(self._times_s)
-        return Result(
+        return emulatedfleet.Result(
             requests=counts["requests"],
             in_target=counts["in_target"] / total,
             late=counts["late"] / total,
--- a/bench/policies.py
+++ b/bench/policies.py
@@ -7,6 +7,9 @@
 from typing import Any
 from typing import TYPE_CHECKING
 
+import msgspec
+
+from bench import emulatedfleet
 from bench import emulator
 from cowslipshift.steering import balancer as balancers
 from cowslipshift.steering import placement
@@ -43,8 +46,8 @@
     seeds: int,
     length_s: float,
 ) -> dict[str, float]:
-    deployment = emulator.msgspec.structs.replace(
-        emulator.UNEVEN, requests_per_s=requests_per_s
+    deployment = msgspec.structs.replace(
+        emulatedfleet.UNEVEN, requests_per_s=requests_per_s
     )
     with _set_constants(constants):
         results = [
@@ -53,7 +56,7 @@
         ]
     return {
         name: round(statistics.mean(getattr(r, name) for r in results), 4)
-        for name in emulator.Result.__struct_fields__
+        for name in emulatedfleet.Result.__struct_fields__
     }
 
 
--- a/tests/steering/test_load_patterns.py
+++ b/tests/steering/test_load_patterns.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+from bench import emulatedfleet
 from bench import emulator
+import msgspec
 import pytest
 
 from cowslipshift.steering import balancer as balancers
@@ -11,8 +13,8 @@
 
 def run_emulator(
     seed: int, length_s: float = 20.0, **fields: object
-) -> emulator.Result:
-    deployment = emulator.msgspec.structs.replace(emulator.UNEVEN, **fields)
+) -> emulatedfleet.Result:
+    deployment = msgspec.structs.replace(emulatedfleet.UNEVEN, **fields)
     return emulator.Emulator(deployment, seed).run(length_s)
 
 
