Name the host's reports of the duty dutyreports

`edge/usagereports` (the duty `usage_report`) and `steering/usagereports` (what a host tells others about client accounts) shared a name and no meaning.

--- a/src/cowslipshift/edge/service.py
+++ b/src/cowslipshift/edge/service.py
@@ -20,6 +20,7 @@
 from cowslipshift import supervision
 from cowslipshift.edge import attempts
 from cowslipshift.edge import callers
+from cowslipshift.edge import dutyreports
 from cowslipshift.edge import gossip as gossips
 from cowslipshift.edge import handler as handlers
 from cowslipshift.edge import heartbeats
@@ -32,7 +33,6 @@
 from cowslipshift.edge import rolloutcontroller
 from cowslipshift.edge import upstream
 from cowslipshift.edge import usagemessages
-from cowslipshift.edge import usagereports
 from cowslipshift.edge import watcher as watchers
 from cowslipshift.inbound import connections as inbound_connections
 from cowslipshift.platform import ingress
@@ -249,7 +249,7 @@
         peers = peerclient.PeerClient(
             self._session, self._metrics.count_fetch, budget
         )
-        counter = usagereports.open_counter(settings, self.bounds)
+        counter = dutyreports.open_counter(settings, self.bounds)
         self._client = upstream.UpstreamClient(self._balancer.record_connect)
         self._handler = handlers.RequestHandler(
             attempts.Dependencies(
@@ -277,10 +277,10 @@
         self._registration = registration.HostRegistration(
             self._own, self._store, self._watcher
         )
-        self._usage = usagereports.assemble_reports(
+        self._usage = dutyreports.assemble_reports(
             settings,
             self.bounds,
-            usagereports.Dependencies(
+            dutyreports.Dependencies(
                 self._clock,
                 clocks.ElapsedClock(),
                 self._membership,
