--- a/tests/edge/daemons.py
+++ b/tests/edge/daemons.py
@@ -11,7 +11,6 @@
 from cowslipshift.platform import names
 from cowslipshift.platform import settings as platform_settings
 from cowslipshift.standins import platformfleet
-from cowslipshift.standins import portreservations
 
 SETTINGS = """\
 node_name = "{name}"
@@ -41,12 +40,14 @@
     Attributes:
         bounds: More entries of the bounds, each with a comma before it.
         tables: More tables of the settings.
+        program: Arguments of the interpreter that run the host.
     """
 
     def __init__(self, fleet: platformfleet.PlatformFleet) -> None:
         self.fleet = fleet
         self.front = ""
         self.bounds = self.tables = ""
+        self.program = ("-m", "cowslipshift.edge.main")
         self.log = pathlib.Path()
         self.process: asyncio.subprocess.Process | None = None
 
@@ -57,7 +58,7 @@
         centre: str,
         more_settings: str = "",
     ) -> None:
-        ports = portreservations.reserve_ports(5, consecutive=2)
+        ports = self.fleet.reserve_ports(5, consecutive=2)
         store = await self.fleet.open_store_port()
         self.front = f"127.0.0.1:{ports[2]}"
         self.ready = f"127.0.0.1:{ports[3]}"
@@ -83,8 +84,7 @@
         with self.log.open("wb") as output:
             self.process = await asyncio.create_subprocess_exec(
                 sys.executable,
-                "-m",
-                "cowslipshift.edge.main",
+                *self.program,
                 stdout=output,
                 stderr=output,
                 env={
