--- a/src/cowslipshift/connections.py
+++ b/src/cowslipshift/connections.py
@@ -1,24 +1,30 @@
 """Client connections that are not trusted for longer than they are watched.
 
-They take no bytes for an answer that nobody awaits. Between the hosts, and to
+They take no bytes for an answer that nobody awaits, and carry no request id
+twice, so that the id of an answer tells its request. Between the hosts, and to
 the store, none is used twice: whatever is between the two ends may have lost
 track of a connection that is idle, and bytes sent on it are lost silently.
 """
 
 from __future__ import annotations
 
+import contextlib
+import contextvars
 import functools
+import itertools
 from typing import Any
 from typing import TYPE_CHECKING
 
 import aiohttp
 from aiohttp import client_proto
+import msgspec
 
 from cowslipshift import statuses
 
 if TYPE_CHECKING:
     import asyncio
     from collections.abc import Callable
+    from collections.abc import Iterator
 
 
 FIRST_PART_BYTES = 4096
@@ -36,6 +42,46 @@
 
 MAX_INTERIM_ANSWERS = 32
 
+MAX_REQUESTS = 128
+MAX_REQUESTS_SPREAD = 32
+"""Requests after which a connection is closed, as it remembers their ids, and
+by how many fewer some take, so that not all of a pool end together."""
+
+_numbers = itertools.count(1)
+
+
+class Exchange(msgspec.Struct):
+    """A request and the connection that carries it.
+
+    Attributes:
+        request_id: Id that the answer has to repeat.
+        connection: Number of the connection within this process; 0 as long
+            as there is none, so that no byte was sent.
+        carried: Requests that the connection carried before.
+    """
+
+    request_id: str
+    connection: int = 0
+    carried: int = 0
+
+
+_exchange: contextvars.ContextVar[Exchange | None] = contextvars.ContextVar(
+    "exchange", default=None
+)
+
+
+@contextlib.contextmanager
+def track(exchange: Exchange) -> Iterator[None]:
+    """Tell the connections which request is sent within the context.
+
+    It gets none that has carried its id before.
+    """
+    token = _exchange.set(exchange)
+    try:
+        yield
+    finally:
+        _exchange.reset(token)
+
 
 class GuardedConnection(client_proto.ResponseHandler):
     """A connection that limits what a peer may send, and when.
@@ -49,6 +95,10 @@
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
         super().__init__(loop)
+        self._number = next(_numbers)
+        self._requests = 0
+        self._max_requests = MAX_REQUESTS - self._number % MAX_REQUESTS_SPREAD
+        self._request_ids: set[int] = set()
         self._has_final_head = False
         self._deferred = b""
         self._part_bytes = FIRST_PART_BYTES
@@ -58,12 +108,34 @@
 
     def set_response_params(self, **params: Any) -> None:
         """Prepare for the answer to another request."""
+        exchange = _exchange.get()
+        if exchange is not None:
+            exchange.connection = self._number
+            exchange.carried = self._requests
+            # Callers choose ids, which may be long; equal hashes of two only
+            # cost a connection.
+            self._request_ids.add(hash(exchange.request_id))
+        self._requests += 1
         self._has_final_head = False
         self._parsed_bytes = 0
         self._interim_answers = 0
         self._part_bytes = FIRST_PART_BYTES
         super().set_response_params(**params)
 
+    def is_connected(self) -> bool:
+        """Tell whether the connection may carry the present request.
+
+        An answer that names an earlier request of the same id could belong to
+        either of them.
+        """
+        exchange = _exchange.get()
+        if (
+            exchange is not None
+            and hash(exchange.request_id) in self._request_ids
+        ):
+            return False
+        return super().is_connected()
+
     def feed_data(self, data: Any, size: int = 0) -> None:
         """Note whether the head of a final answer has arrived."""
         message, _ = data
@@ -92,7 +164,11 @@
     @property
     def should_close(self) -> bool:
         """Whether no other request may use the connection."""
-        return bool(self._deferred) or super().should_close
+        return (
+            bool(self._deferred)
+            or self._requests >= self._max_requests
+            or super().should_close
+        )
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Parse what had arrived before the end."""
@@ -216,13 +292,24 @@
     )
 
 
+def disable_resending(session: aiohttp.ClientSession) -> None:
+    """Let a session send each request once.
+
+    When a connection ends before an answer, aiohttp sends requests with
+    idempotent methods again. Here routes decide what may be repeated.
+    """
+    session._retry_connection = False
+
+
 def open_control_session() -> aiohttp.ClientSession:
     """Open a session for calls to the store and to other hosts.
 
     Each call opens a connection, which costs a round trip. On a connection of
     a pool that has fallen silent it would wait until its time limit.
     """
-    return aiohttp.ClientSession(
+    session = aiohttp.ClientSession(
         connector=GuardedConnector(force_close=True),
         cookie_jar=aiohttp.DummyCookieJar(),
     )
+    disable_resending(session)
+    return session
--- a/src/cowslipshift/console/session.py
+++ b/src/cowslipshift/console/session.py
@@ -7,10 +7,12 @@
 import os
 from typing import TYPE_CHECKING
 
-import aiohttp
-
+from cowslipshift import bodies
+from cowslipshift import connections
 from cowslipshift import exceptions
 from cowslipshift.config import editor as editors
+from cowslipshift.platform import review
+from cowslipshift.platform import store as stores
 from cowslipshift.store import client as clients
 
 if TYPE_CHECKING:
@@ -49,7 +51,7 @@
     if not endpoints:
         raise UsageError(f"give --store or set {STORE_VARIABLE}")
     name = author or os.environ.get(AUTHOR_VARIABLE) or getpass.getuser()
-    async with aiohttp.ClientSession() as session:
+    async with connections.open_control_session() as session:
         yield editors.Editor(clients.StoreClient(endpoints, session), name)
 
 
@@ -78,3 +80,22 @@
     """
     async with open_editor(store) as editor:
         return (await editor.read()).configuration
+
+
+async def read_deployment(address: str) -> review.Deployment:
+    """Read the configuration and the servers from a platform's store.
+
+    Args:
+        address: ``ip:port`` of the store, or its base URL.
+
+    Raises:
+        StoreError: The store did not answer.
+    """
+    async with connections.open_control_session() as session:
+        store = stores.PlatformStore(
+            address.removeprefix("http://").rstrip("/"),
+            session,
+            lambda kind, outcome: None,
+            bodies.ByteBudget(bodies.MAX_CONTROL_BYTES),
+        )
+        return await review.read_deployment(store)
--- a/src/cowslipshift/edge/attempts.py
+++ b/src/cowslipshift/edge/attempts.py
@@ -5,7 +5,9 @@
 from typing import TYPE_CHECKING
 
 from aiohttp import web
+import msgspec
 
+from cowslipshift import connections
 from cowslipshift.edge import exceptions
 from cowslipshift.edge import upstream
 from cowslipshift.platform import ingress
@@ -83,6 +85,14 @@
         self.usage = usage
 
 
+class _Answered(msgspec.Struct):
+    """An answer with the attempt that got it."""
+
+    choice: calls.Choice
+    answer: upstream.Answer
+    exchange: connections.Exchange
+
+
 class Attempts:
     """The attempts of one request."""
 
@@ -91,6 +101,7 @@
         "_body",
         "_call",
         "_deps",
+        "_exchange",
         "_last_answered",
         "_may_have_run",
         "_request",
@@ -113,10 +124,11 @@
         call.method = request.method
         call.body_bytes = len(body or b"")
         self._body = body
+        self._exchange = connections.Exchange(request_headers.id)
         self._sent = 0
         self._connect_failures = 0
         self._may_have_run = False
-        self._last_answered: tuple[calls.Choice, upstream.Answer] | None = None
+        self._last_answered: _Answered | None = None
 
     async def run(self) -> web.Response:
         """Make attempts until one gives an answer, or none is left.
@@ -163,7 +175,7 @@
 
     def _conclude_unanswered(self, refusal: calls.Refusal) -> web.Response:
         if self._last_answered is not None:
-            return self._pass_on(*self._last_answered)
+            return self._pass_on(self._last_answered)
         if self._may_have_run:
             raise self._build_unknown(refusal.reason == "late")
         raise Refused(
@@ -200,6 +212,7 @@
         )
         deps.balancer.record_sent(call, choice, now)
         counted = self._count_start()
+        self._exchange = connections.Exchange(self._request_headers.id)
         try:
             answer = await deps.client.send(
                 entry.address,
@@ -209,6 +222,7 @@
                 self._body,
                 left_s,
                 self._is_own_answer,
+                self._exchange,
             )
         except exceptions.NotSentError as error:
             self._cancel_start(counted)
@@ -258,11 +272,11 @@
         answer_headers = ingress.parse_answer_headers(
             answer.status, answer.headers
         )
-        if answer_headers.load is not None:
-            deps.balancer.load_exchange.record_answer(
-                state, answer_headers.load, now
-            )
         if not answer_headers.is_other_server:
+            if answer_headers.load is not None:
+                deps.balancer.load_exchange.record_answer(
+                    state, answer_headers.load, now
+                )
             self._record_limit(choice, answer_headers.server_limit)
             self._record_signals(choice, answer_headers)
         self._sent += 1
@@ -282,10 +296,11 @@
             return None
         is_bad = answer.status >= 500
         self._record_answer(choice, answer.took_s, is_bad)
+        answered = _Answered(choice, answer, self._exchange)
         if is_bad and call.route.is_idempotent:
-            self._last_answered = choice, answer
+            self._last_answered = answered
             return None
-        return self._pass_on(choice, answer)
+        return self._pass_on(answered)
 
     def _reject_answer(self, choice: calls.Choice, reason: str) -> None:
         """Treat an answer as lost, as it does not tell what came of a request.
@@ -301,9 +316,8 @@
         if not self._call.route.is_idempotent:
             raise self._build_unknown(is_timeout=False)
 
-    def _pass_on(
-        self, choice: calls.Choice, answer: upstream.Answer
-    ) -> web.Response:
+    def _pass_on(self, answered: _Answered) -> web.Response:
+        choice, answer = answered.choice, answered.answer
         call, deps = self._call, self._deps
         now = deps.clock.now()
         took_s = now - call.arrived_s
@@ -322,6 +336,7 @@
             returned=call.has_returned,
             config=deps.balancer.version,
             **describe_choice(choice, now),
+            **_describe_exchange(answered.exchange),
         )
         deps.metrics.count_answer(
             call.route, call.priority, answer.status, took_s
@@ -369,6 +384,7 @@
             reason=error.message,
             ejected=is_ejected,
             **describe_choice(choice, now),
+            **_describe_exchange(self._exchange),
         )
 
     def _record_shed(
@@ -384,6 +400,7 @@
             status=status,
             stated=is_stated,
             **describe_choice(choice, now),
+            **_describe_exchange(self._exchange),
         )
 
     def _record_limit(
@@ -439,6 +456,14 @@
             )
 
 
+def _describe_exchange(exchange: connections.Exchange) -> dict[str, object]:
+    """Return the log fields of the connection of an attempt."""
+    return {
+        "connection": exchange.connection,
+        "carried": exchange.carried,
+    }
+
+
 def describe_choice(
     choice: calls.Choice | None, now: float
 ) -> dict[str, object]:
@@ -458,6 +483,7 @@
     }
     return {
         "backend": state.entry.id,
+        "address": state.entry.address,
         "version": state.entry.version,
         "data_centre": state.entry.data_centre,
         "position": choice.position,
--- a/src/cowslipshift/standins/platformfleet.py
+++ b/src/cowslipshift/standins/platformfleet.py
@@ -124,8 +124,12 @@
         self.hosts: list[edge_service.EdgeService] = []
         self.backend_addresses: dict[str, str] = {}
         self.backend_locations: dict[str, tuple[str, str]] = {}
+        self._backends_by_address: dict[
+            str, platformbackend.PlatformBackendStandIn
+        ] = {}
         self._counts = (hosts, backends)
         self._runners: list[web.AppRunner] = []
+        self._ports: list[int] = []
         self._lease_task: asyncio.Task[None] | None = None
         self.session = aiohttp.ClientSession()
 
@@ -144,7 +148,7 @@
         return self
 
     async def __aexit__(self, *_: object) -> None:
-        """Stop all components."""
+        """Stop all components and release all ports."""
         for host in list(self.hosts):
             await self.kill_host(host)
         if self._lease_task is not None:
@@ -154,25 +158,63 @@
         await self.session.close()
         for runner in self._runners:
             await runner.cleanup()
+        portreservations.release_ports(self._ports)
+        self._ports.clear()
+
+    def reserve_ports(self, count: int, consecutive: int = 1) -> list[int]:
+        """Reserve ports until this fleet closes.
+
+        Args:
+            count: Number of ports.
+            consecutive: How many of them, the first ones, follow each other.
+        """
+        ports = portreservations.reserve_ports(count, consecutive)
+        self._ports += ports
+        return ports
 
     async def add_backend(
         self, service: str, data_centre: str, version: str = "v1"
     ) -> platformbackend.PlatformBackendStandIn:
         """Start a backend server and register it in the store."""
-        identity = f"{service}-{len(self.backends) + 1}"
-        backend = platformbackend.PlatformBackendStandIn(identity, slots=3)
         application = web.Application()
-        application.router.add_route("*", "/{path:.*}", backend.handle)
+        application.router.add_route("*", "/{path:.*}", self._handle)
         address = await self._serve(application)
+        return self._register(address, service, data_centre, version)
+
+    def restart_backend(
+        self, identity: str
+    ) -> platformbackend.PlatformBackendStandIn:
+        """Start a backend server again at its address, under another id.
+
+        Its connections and its earlier entry in the store remain.
+        """
+        backend = self._register(
+            self.backend_addresses[identity], *self.backend_locations[identity]
+        )
+        backend.behaviour = self.backends[identity].behaviour
+        return backend
+
+    def _register(
+        self, address: str, service: str, data_centre: str, version: str = "v1"
+    ) -> platformbackend.PlatformBackendStandIn:
+        identity = f"{service}-{len(self.backends) + 1}"
+        backend = platformbackend.PlatformBackendStandIn(identity, slots=3)
         self.backends[identity] = backend
         self.backend_addresses[identity] = address
         self.backend_locations[identity] = (service, data_centre)
+        self._backends_by_address[address] = backend
         self.store.put(
             names.BACKEND_PREFIX + identity,
             backend.build_entry(address, service, data_centre, version),
         )
         return backend
 
+    async def _handle(self, request: web.Request) -> web.StreamResponse:
+        """Let the server that has started last at an address answer."""
+        assert request.transport is not None
+        ip, port = request.transport.get_extra_info("sockname")[:2]
+        return await self._backends_by_address[f"{ip}:{port}"].handle(request)
+
     async def open_store_port(self) -> str:
         """Serve the store on another port and return the address."""
         return await self._serve(self.store.build_application())
@@ -206,7 +248,7 @@
     async def add_host(self, data_centre: str) -> edge_service.EdgeService:
         """Start a host that uses a port of the store of its own."""
         store_address = await self.open_store_port()
-        ports = portreservations.reserve_ports(5, consecutive=2)
+        ports = self.reserve_ports(5, consecutive=2)
         settings = platform_settings.HostSettings(
             node_name=f"host-{len(self.hosts) + 1}",
             ip="127.0.0.1",
@@ -318,7 +360,7 @@
         )
         await runner.setup()
         self._runners.append(runner)
-        port = portreservations.reserve_ports(1)[0]
+        port = self.reserve_ports(1)[0]
         await web.TCPSite(runner, "127.0.0.1", port).start()
         return f"127.0.0.1:{port}"
 
--- a/tests/edge/test_faulty_backends.py
+++ b/tests/edge/test_faulty_backends.py
@@ -12,6 +12,7 @@
 from tests.edge import faultyserver
 from tests.edge import rawcaller
 
+from cowslipshift import connections
 from cowslipshift.edge import exceptions
 from cowslipshift.edge import upstream
 from cowslipshift.platform import ingress
@@ -102,6 +103,7 @@
         None,
         TIMEOUT_S,
         lambda headers: ingress.is_answer_to(request_id, headers),
+        connections.Exchange(request_id),
     )
 
 
@@ -125,6 +127,40 @@
     await client.close()
 
 
+# Guards against REFUSED and MIXED: an answer names a request that its
+# connection has carried twice, so that the id does not tell which one it
+# belongs to.
+async def test_connection_carries_no_id_twice() -> None:
+    def script(headers: dict[str, str], number: int) -> list[Step]:
+        request_id = headers.get(names.REQUEST_ID_HEADER.lower(), "")
+        return [Step(faultyserver.build_answer(request_id, b"x"))]
+
+    client = upstream.UpstreamClient()
+    async with faultyserver.FaultyServer(script) as server:
+        for request_id in ("r0", "r1", "r0", "", "r1", "", "r2"):
+            await send(client, server, request_id)
+        carried = list(zip(server.carriers, server.request_ids, strict=True))
+        assert len(set(carried)) == len(carried)
+        assert server.connections < len(carried)
+    await client.close()
+
+
+# Guards against memory that grows with the requests of a connection.
+async def test_connection_is_replaced_after_many_requests() -> None:
+    def script(headers: dict[str, str], number: int) -> list[Step]:
+        request_id = headers[names.REQUEST_ID_HEADER.lower()]
+        return [Step(faultyserver.build_answer(request_id, b"x"))]
+
+    client = upstream.UpstreamClient()
+    async with faultyserver.FaultyServer(script) as server:
+        for number in range(2 * connections.MAX_REQUESTS):
+            await send(client, server, f"{number:07900d}")
+        most = max(map(server.carriers.count, set(server.carriers)))
+        assert most <= connections.MAX_REQUESTS
+        assert server.connections <= 3
+    await client.close()
+
+
 async def test_connection_with_unasked_bytes_is_not_used_again() -> None:
     def script(headers: dict[str, str], number: int) -> list[Step]:
         request_id = headers[names.REQUEST_ID_HEADER.lower()]
