Find the server behind a listener by the listener, not by its address

Change: a listener holds the server that has started last. Measured: that test and the platform's path pass.

--- a/src/cowslipshift/standins/platformfleet.py
+++ b/src/cowslipshift/standins/platformfleet.py
@@ -107,6 +107,16 @@
     return msgspec.json.encode({**config, **changes})
 
 
+class _BackendListener:
+    """Passes requests on to the server that has started last at an address."""
+
+    backend: platformbackend.PlatformBackendStandIn
+
+    async def handle(self, request: web.Request) -> web.StreamResponse:
+        """Let the server answer."""
+        return await self.backend.handle(request)
+
+
 class PlatformFleet:
     """Store, backend servers and hosts of one deployment.
 
@@ -124,9 +134,7 @@
         self.hosts: list[edge_service.EdgeService] = []
         self.backend_addresses: dict[str, str] = {}
         self.backend_locations: dict[str, tuple[str, str]] = {}
-        self._backends_by_address: dict[
-            str, platformbackend.PlatformBackendStandIn
-        ] = {}
+        self._listeners: dict[str, _BackendListener] = {}
         self._counts = (hosts, backends)
         self._runners: list[web.AppRunner] = []
         self._ports: list[int] = []
@@ -176,9 +184,11 @@
         self, service: str, data_centre: str, version: str = "v1"
     ) -> platformbackend.PlatformBackendStandIn:
         """Start a backend server and register it in the store."""
+        listener = _BackendListener()
         application = web.Application()
-        application.router.add_route("*", "/{path:.*}", self._handle)
+        application.router.add_route("*", "/{path:.*}", listener.handle)
         address = await self._serve(application)
+        self._listeners[address] = listener
         return self._register(address, service, data_centre, version)
 
     def restart_backend(
@@ -202,19 +212,13 @@
         self.backends[identity] = backend
         self.backend_addresses[identity] = address
         self.backend_locations[identity] = (service, data_centre)
-        self._backends_by_address[address] = backend
+        self._listeners[address].backend = backend
         self.store.put(
             names.BACKEND_PREFIX + identity,
             backend.build_entry(address, service, data_centre, version),
         )
         return backend
 
-    async def _handle(self, request: web.Request) -> web.StreamResponse:
-        """Let the server that has started last at an address answer."""
-        assert request.transport is not None
-        ip, port = request.transport.get_extra_info("sockname")[:2]
-        return await self._backends_by_address[f"{ip}:{port}"].handle(request)
-
     async def open_store_port(self) -> str:
         """Serve the store on another port and return the address."""
         return await self._serve(self.store.build_application())
