Count admissions of a host's silence as of its end

Hosts that came back from a cut spread what the others had admitted meanwhile over half a window, though it had come later, and granted it once more: 1,007 of 951 allowed in 5 s. Such admissions now count as of the end of the silence and leave as the host's own count says. Virtual hosts after a cut: 997 to 1,022 of 951 before (test failed), within it after.

--- a/src/cowslipshift/steering/peerusages.py
+++ b/src/cowslipshift/steering/peerusages.py
@@ -15,15 +15,17 @@
 REFRESH_S = 0.02
 """How long an estimate is used before it is computed again."""
 
-
 EARLY_FRACTION = 0.6
 """Fraction of the window after which the admissions that a silent host told
 may all have left it; they may have come in a burst."""
 
+MAX_FIRST_FRACTION = 0.5
+"""Part of the window over which the first report of a host is spread at most.
+"""
 
-LATE_FRACTION = 0.5
-"""Last fraction of the window in which the admissions of a host count that
-was not heard for so long."""
+MAX_EVEN_GAP_S = 1.0
+"""Longest time between two heartbeats of a host over which its admissions
+count as evenly spread."""
 
 
 class PeerEstimate(msgspec.Struct, frozen=True):
@@ -49,13 +51,31 @@
 
 
 class _PeerUsage:
-    """Last usage that another host reported."""
+    """Last usage that another host reported.
+
+    Attributes:
+        usage: The usage.
+        reported_s: Time of the report.
+        undated: Admissions during a silence that count as of its end, as
+            their times are not known.
+        undated_s: Time from which they count.
+        since: Admissions after them.
+    """
 
-    __slots__ = ("reported_s", "usage")
+    __slots__ = (
+        "reported_s",
+        "since",
+        "undated",
+        "undated_s",
+        "usage",
+    )
 
     def __init__(self, usage: limiters.Usage, reported_s: float) -> None:
         self.usage = usage
         self.reported_s = reported_s
+        self.undated = 0.0
+        self.undated_s = reported_s
+        self.since = 0.0
 
 
 class PeerUsages:
@@ -91,25 +111,71 @@
             sent_s: Time of the report.
             heard_s: Time of its heartbeat before, if any.
         """
-        last = self._usages.get(host)
-        if last is None:
+        peer = self._usages.get(host)
+        if peer is None:
+            peer = self._usages[host] = _PeerUsage(usage, sent_s)
             added = float(usage.admitted)
             lasted_s = added / max(usage.demand, added / self._window_s, 1.0)
-            heard_s = max(heard_s, sent_s - lasted_s)
+            heard_s = max(
+                heard_s,
+                sent_s - min(lasted_s, MAX_FIRST_FRACTION * self._window_s),
+            )
+            self._admitted.add_span(added, heard_s, sent_s)
         else:
-            added = self._count_added(last, usage, sent_s)
-            # Heartbeats in between omitted what the last report let expect.
-            omitted_s = max(0.0, heard_s - last.reported_s)
-            omitted = last.usage.admitted * omitted_s / self._window_s
-            omitted = max(0.0, min(omitted, added))
-            if omitted > 0.0:
-                self._admitted.add_span(omitted, last.reported_s, heard_s)
-            added -= omitted
-        # After a long silence they may all have come late in it.
-        heard_s = max(heard_s, sent_s - LATE_FRACTION * self._window_s)
-        if added:
+            self._record_added(peer, usage, sent_s, heard_s)
+        peer.usage = usage
+        peer.reported_s = sent_s
+
+    def _record_added(
+        self,
+        peer: _PeerUsage,
+        usage: limiters.Usage,
+        sent_s: float,
+        heard_s: float,
+    ) -> None:
+        """Count the admissions since a host's last report."""
+        if _has_restarted(peer.usage, usage):
+            peer.undated = 0.0
+        added = self._count_added(peer, usage, sent_s)
+        # Heartbeats in between omitted what the last report let expect.
+        omitted_s = max(0.0, heard_s - peer.reported_s)
+        omitted = peer.usage.admitted * omitted_s / self._window_s
+        omitted = max(0.0, min(omitted, added))
+        if omitted > 0.0:
+            self._admitted.add_span(omitted, peer.reported_s, heard_s)
+            peer.since += omitted
+        added -= omitted
+        if sent_s - heard_s > MAX_EVEN_GAP_S:
+            self._record_undated(peer, added, sent_s)
+        elif added < 0.0:
+            # Requests that no server ran may be undated ones.
             self._admitted.add_span(added, heard_s, sent_s)
-        self._usages[host] = _PeerUsage(usage, sent_s)
+            peer.undated = max(0.0, peer.undated + added)
+        else:
+            self._admitted.add_span(added, heard_s, sent_s)
+            peer.since += added
+        self._drop_undated(peer, usage, sent_s)
+
+    def _record_undated(
+        self, peer: _PeerUsage, added: float, sent_s: float
+    ) -> None:
+        """Count admissions of a silence as late as they may have come."""
+        self._admitted.add(sent_s, added)
+        peer.undated = max(0.0, added)
+        peer.undated_s = sent_s
+        peer.since = 0.0
+
+    def _drop_undated(
+        self, peer: _PeerUsage, usage: limiters.Usage, sent_s: float
+    ) -> None:
+        """Drop undated admissions that have left the host's window."""
+        if sent_s - peer.undated_s >= self._window_s:
+            peer.undated = 0.0
+        left = max(0.0, usage.admitted - peer.since)
+        dropped = peer.undated - left
+        if dropped > 0.0:
+            self._admitted.add_span(-dropped, peer.undated_s, peer.undated_s)
+            peer.undated = left
 
     def forget(self, host: str) -> None:
         """Forget a host that is gone; what it admitted stays counted."""
@@ -142,21 +208,22 @@
         if now - self._estimated_s < REFRESH_S:
             return self._estimate
         window_s, silent = self._window_s, liveness.silent
-        unreported = demand = weighted_age = counted = 0.0
+        unreported = demand = weighted_age = 0.0
         reserved = even_share * len(silent)
         users = admitted = silent_admitted = 0
         for host, peer in self._usages.items():
             usage, reported_s = peer.usage, peer.reported_s
             admitted += usage.admitted
+            heard_s = liveness.heard_s.get(host, reported_s)
+            age_s = max(0.0, now - heard_s)
             if host in silent:
                 silent_admitted += usage.admitted
                 left_s = EARLY_FRACTION * window_s - (now - reported_s)
                 left = max(0.0, left_s / (EARLY_FRACTION * window_s))
-                counted += left * usage.admitted
-                reserved += max(0.0, usage.admitted - even_share)
+                used = max(even_share, float(usage.admitted))
+                used -= left * usage.admitted
+                reserved += used - even_share
                 continue
-            heard_s = liveness.heard_s.get(host, reported_s)
-            age_s = max(0.0, now - heard_s)
             users += usage.admitted > 0
             demand += usage.demand
             weighted_age += usage.demand * age_s
@@ -167,7 +234,7 @@
         age_s = weighted_age / demand if demand > 0.0 else 0.0
         self._estimate = PeerEstimate(
             unreported,
-            max(0.0, reserved - counted),
+            reserved,
             demand,
             age_s,
             users,
@@ -189,8 +256,14 @@
             passed = min(1.0, (sent_s - last.reported_s) / self._window_s)
             change = usage.admitted - before.admitted
             return max(0.0, change + passed * before.admitted)
-        change = usage.total - before.total
-        if not before.total or change < -before.admitted:
-            # It has started again and counts from another number.
+        if _has_restarted(before, usage):
             return float(usage.admitted)
-        return float(min(change, usage.admitted))
+        return float(min(usage.total - before.total, usage.admitted))
+
+
+def _has_restarted(before: limiters.Usage, usage: limiters.Usage) -> bool:
+    """Tell whether a host has started again, with another first total."""
+    if not usage.total:
+        return False
+    change = usage.total - before.total
+    return not before.total or change < -before.admitted
