--- a/src/cowslipshift/steering/demands.py
+++ b/src/cowslipshift/steering/demands.py
@@ -6,7 +6,14 @@
 
 DEMAND_WINDOW_S = 0.35
 
-GROWTH_DEMAND = 6.0
+AT_ONCE_S = 0.002
+"""Time after a request within which a heartbeat is taken to be sent because of
+it; just after a request, the demand is above its mean."""
+
+AT_ONCE_FRACTION = 0.75
+"""Part of that request that the demand at the heartbeat does not count."""
+
+GROWTH_DEMAND = 4.0
 """Requests per second on one host below which growth of its own demand says
 little about the demand of the others."""
 
@@ -54,6 +61,9 @@
     def record_heartbeat(self, now: float) -> float:
         """Remember and return the demand that a heartbeat tells."""
         rate = self.measure(now)
+        if now - self._updated_s <= AT_ONCE_S:
+            one = 1.0 / DEMAND_WINDOW_S
+            rate = max(min(rate, one), rate - AT_ONCE_FRACTION * one)
         self._at_heartbeats = (self._at_heartbeats[1], rate)
         return rate
 
--- a/src/cowslipshift/steering/limiters.py
+++ b/src/cowslipshift/steering/limiters.py
@@ -236,7 +236,12 @@
     ) -> rooms.Room:
         limit = self.measure_limit(now)
         peers = self._peers.estimate(
-            now, liveness, limit / max(1, liveness.hosts), self._is_filling
+            now,
+            liveness,
+            limit / max(1, liveness.hosts),
+            self._is_filling,
+            self._fraction.value,
+            own_demand,
         )
         used = self._count_used(now)
         others = peers.users
--- a/src/cowslipshift/steering/peerusages.py
+++ b/src/cowslipshift/steering/peerusages.py
@@ -27,6 +27,17 @@
 """Longest time between two heartbeats of a host over which its admissions
 count as evenly spread."""
 
+LATE_AGE_S = 0.2
+"""Age of a host's last heartbeat beyond which its demand is assumed to be no
+less than that of hosts heard since, as a crowd may have come meanwhile."""
+
+HEARD_MARGIN = 1.25
+"""Factor by which hosts heard lately may receive more than others by chance.
+"""
+
+HEARD_NOISE = 0.5
+"""Requests per second that they may receive more by chance."""
+
 
 class PeerEstimate(msgspec.Struct, frozen=True):
     """What the other hosts use of a quota, as far as one host can tell.
@@ -60,6 +71,8 @@
             their times are not known.
         undated_s: Time from which they count.
         since: Admissions after them.
+        unheard: Admissions assumed during its present silence, until it is
+            found to be silent; negative while it is not.
     """
 
     __slots__ = (
@@ -67,6 +80,7 @@
         "since",
         "undated",
         "undated_s",
+        "unheard",
         "usage",
     )
 
@@ -76,6 +90,7 @@
         self.undated = 0.0
         self.undated_s = reported_s
         self.since = 0.0
+        self.unheard = -1.0
 
 
 class PeerUsages:
@@ -125,6 +140,7 @@
             self._record_added(peer, usage, sent_s, heard_s)
         peer.usage = usage
         peer.reported_s = sent_s
+        peer.unheard = -1.0
 
     def _record_added(
         self,
@@ -195,6 +211,8 @@
         liveness: limiters.PeerLiveness,
         even_share: float,
         are_changes_told: bool,
+        fraction: float,
+        own_demand: float,
     ) -> PeerEstimate:
         """Estimate what has not been reported.
 
@@ -204,13 +222,16 @@
             even_share: Even share of the limit, of each host.
             are_changes_told: Whether heartbeats tell of each admission;
                 otherwise those that earlier reports let expect are omitted.
+            fraction: Fraction of requests admitted lately.
+            own_demand: Requests per second that this host receives.
         """
         if now - self._estimated_s < REFRESH_S:
             return self._estimate
         window_s, silent = self._window_s, liveness.silent
-        unreported = demand = weighted_age = 0.0
+        unreported = late = demand = weighted_age = 0.0
         reserved = even_share * len(silent)
         users = admitted = silent_admitted = 0
+        heard_demand = self._measure_heard_demand(now, liveness, own_demand)
         for host, peer in self._usages.items():
             usage, reported_s = peer.usage, peer.reported_s
             admitted += usage.admitted
@@ -218,19 +239,27 @@
             age_s = max(0.0, now - heard_s)
             if host in silent:
                 silent_admitted += usage.admitted
+                if peer.unheard < 0.0:
+                    received = usage.demand * age_s + max(
+                        0.0, heard_demand - usage.demand
+                    ) * (age_s - LATE_AGE_S)
+                    peer.unheard = fraction * received
+                unheard = peer.unheard if age_s < 1.5 * window_s else 0.0
                 left_s = EARLY_FRACTION * window_s - (now - reported_s)
                 left = max(0.0, left_s / (EARLY_FRACTION * window_s))
                 used = max(even_share, float(usage.admitted))
                 used -= left * usage.admitted
-                reserved += used - even_share
+                reserved += max(used, unheard) - even_share
                 continue
             users += usage.admitted > 0
             demand += usage.demand
             weighted_age += usage.demand * age_s
+            late_s = max(0.0, age_s - LATE_AGE_S)
+            late += (heard_demand - usage.demand) * late_s
             if not are_changes_told:
                 omitted_s = min(window_s, heard_s - reported_s)
                 unreported += usage.admitted * omitted_s / window_s
-        unreported += weighted_age
+        unreported += weighted_age + max(0.0, late)
         age_s = weighted_age / demand if demand > 0.0 else 0.0
         self._estimate = PeerEstimate(
             unreported,
@@ -243,6 +272,18 @@
         self._estimated_s = now
         return self._estimate
 
+    def _measure_heard_demand(
+        self, now: float, liveness: limiters.PeerLiveness, own_demand: float
+    ) -> float:
+        """Return what this host and those heard lately receive at least."""
+        demand, hosts = own_demand, 1
+        for host, heard_s in liveness.heard_s.items():
+            if now - heard_s <= LATE_AGE_S:
+                hosts += 1
+                if host in self._usages:
+                    demand += self._usages[host].usage.demand
+        return demand / hosts / HEARD_MARGIN - HEARD_NOISE
+
     def _count_added(
         self, last: _PeerUsage, usage: limiters.Usage, sent_s: float
     ) -> float:
