--- a/tests/builders.py
+++ b/tests/builders.py
@@ -11,9 +11,12 @@
 import msgspec
 import yarl
 
+from cowslipshift import clock as clocks
 from cowslipshift.config import model
 from cowslipshift.serving import calls as serving_calls
 from cowslipshift.serving.backend import backends
+from cowslipshift.serving.backend import forwarding
+from cowslipshift.serving.backend import transport
 from cowslipshift.serving.entry import idempotency
 from cowslipshift.standins import deployments
 from cowslipshift.standins import portreservations
@@ -356,3 +359,17 @@
         slots=2,
     )
     return backends.Backend(server, 0.0, False)
+
+
+def build_forwarder(
+    address: str, sessions: transport.Sessions
+) -> forwarding.Forwarder:
+    """Build what forwards requests to the one other host, at an address."""
+    return forwarding.Forwarder(
+        "here-1",
+        "secret",
+        clocks.SystemClock(),
+        sessions,
+        lambda name: address,
+        lambda name: 0,
+    )
--- a/tests/serving/test_forwarding.py
+++ b/tests/serving/test_forwarding.py
@@ -10,7 +10,6 @@
 from tests import builders
 from tests.edge import faultyserver
 
-from cowslipshift import clock as clocks
 from cowslipshift import statuses
 from cowslipshift.serving import calls
 from cowslipshift.serving import refusals
@@ -42,14 +41,7 @@
     sessions = transport.Sessions()
     try:
         async with faultyserver.FaultyServer(script) as host:
-            forwarder = forwarding.Forwarder(
-                "here-1",
-                "secret",
-                clocks.SystemClock(),
-                sessions,
-                lambda name: host.address,
-                lambda name: 0,
-            )
+            forwarder = builders.build_forwarder(host.address, sessions)
             call = builders.build_call(
                 deadline_s=time.monotonic() + TIMEOUT_S,
                 idempotent=is_idempotent,
--- a/tests/serving/test_resends.py
+++ b/tests/serving/test_resends.py
@@ -103,14 +103,7 @@
         return [faultyserver.Step(b"", ends="close")]
 
     async with faultyserver.FaultyServer(script) as host:
-        forwarder = forwarding.Forwarder(
-            "here-1",
-            "secret",
-            clocks.SystemClock(),
-            sessions,
-            lambda name: host.address,
-            lambda name: 0,
-        )
+        forwarder = builders.build_forwarder(host.address, sessions)
         with pytest.raises(forwarding.ForwardFailedError) as raised:
             await forwarder.forward(
                 build_order(method), "there-1", calls.Scope.HOST
