Give answers of stores and hosts time while they arrive

Cause: reads and watches of the platform's store (1 s), fetches from other hosts (0.6 s) and reads of the own interface's store (2 s) were limited as a whole, however much had arrived. A limit that is shorter than the transfer ends every attempt, and the repetitions fill the links.

Change: the limits hold for the first byte and for pauses, and an average rate of 32 KiB/s ends an answer that trickles in.

--- a/src/cowslipshift/bodies.py
+++ b/src/cowslipshift/bodies.py
@@ -10,6 +10,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
+    from collections.abc import Callable
     import contextlib
 
 
@@ -66,7 +67,10 @@
 
 
 async def read_body(
-    response: aiohttp.ClientResponse, limit: int, budget: ByteBudget
+    response: aiohttp.ClientResponse,
+    limit: int,
+    budget: ByteBudget,
+    on_progress: Callable[[int], None] = lambda size: None,
 ) -> bytes:
     """Read the complete body of an answer.
 
@@ -74,6 +78,7 @@
         response: The answer; its connection is closed if it is too large.
         limit: Maximum size of the body, in bytes.
         budget: Counts the body while it is being read.
+        on_progress: Called with the bytes read so far after each part.
 
     Raises:
         ClientPayloadError: The body is larger than the limit, or than what
@@ -87,6 +92,7 @@
             budget.take(len(part))
             size += len(part)
             parts.append(part)
+            on_progress(size)
     except aiohttp.ClientPayloadError:
         response.close()
         raise
--- a/src/cowslipshift/edge/peerclient.py
+++ b/src/cowslipshift/edge/peerclient.py
@@ -6,7 +6,7 @@
 
 import aiohttp
 
-from cowslipshift import bodies
+from cowslipshift import transfers
 from cowslipshift.edge import exceptions
 from cowslipshift.edge import messages
 from cowslipshift.edge import usagemessages
@@ -14,9 +14,11 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from cowslipshift import bodies
     from cowslipshift.duties import collection
 
 PEER_TIMEOUT_S = 0.6
+"""Time limit for the first byte of an answer, and for pauses in it."""
 
 
 class PeerClient:
@@ -75,15 +77,15 @@
 
     async def _fetch(self, url: str, params: dict[str, str]) -> bytes:
         try:
-            async with self._session.get(
+            status, raw = await transfers.fetch_body(
+                self._session,
+                "GET",
                 url,
+                PEER_TIMEOUT_S,
+                PEER_TIMEOUT_S,
+                self._budget,
                 params=params,
-                timeout=aiohttp.ClientTimeout(total=PEER_TIMEOUT_S),
-            ) as response:
-                raw = await bodies.read_body(
-                    response, bodies.MAX_CONTROL_BYTES, self._budget
-                )
-                status = response.status
+            )
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
             self._on_fetch("none", 0)
             raise exceptions.PeerError(repr(error)) from error
--- a/src/cowslipshift/platform/store.py
+++ b/src/cowslipshift/platform/store.py
@@ -10,7 +10,7 @@
 import aiohttp
 import msgspec
 
-from cowslipshift import bodies
+from cowslipshift import transfers
 from cowslipshift.platform import names
 from cowslipshift.store import exceptions
 from cowslipshift.store import interface
@@ -19,8 +19,11 @@
     from collections.abc import Callable
     from collections.abc import Mapping
 
+    from cowslipshift import bodies
+
 CALL_TIMEOUT_S = 1.0
-"""200 times the answer time that the platform states."""
+"""Time limit for the first byte of an answer, and for pauses in it: 200 times
+the answer time that the platform states."""
 
 WATCH_MARGIN_S = 1.0
 
@@ -117,7 +120,10 @@
             "wait_ms": str(int(wait_s * 1000)),
         }
         _, raw = await self._call(
-            "GET", names.WATCH_PATH, params, timeout_s=wait_s + WATCH_MARGIN_S
+            "GET",
+            names.WATCH_PATH,
+            params,
+            first_byte_s=wait_s + WATCH_MARGIN_S,
         )
         found = _decode(raw, _Events)
         events = tuple(_convert(event) for event in found.events)
@@ -206,22 +212,21 @@
         path: str,
         params: Mapping[str, str] | None = None,
         body: object = None,
-        timeout_s: float = CALL_TIMEOUT_S,
+        first_byte_s: float = CALL_TIMEOUT_S,
         allowed: tuple[int, ...] = (200,),
     ) -> tuple[int, bytes]:
         kind = path.split("/")[2]
         try:
-            async with self._session.request(
+            status, raw = await transfers.fetch_body(
+                self._session,
                 method,
                 self._url + path,
+                first_byte_s,
+                CALL_TIMEOUT_S,
+                self._budget,
                 params=params,
                 json=body,
-                timeout=aiohttp.ClientTimeout(total=timeout_s),
-            ) as response:
-                raw = await bodies.read_body(
-                    response, bodies.MAX_CONTROL_BYTES, self._budget
-                )
-                status = response.status
+            )
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
             self._on_call(kind, "none")
             raise exceptions.StoreUnavailableError(
--- a/src/cowslipshift/store/client.py
+++ b/src/cowslipshift/store/client.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from cowslipshift import bodies
+from cowslipshift import transfers
 from cowslipshift.store import exceptions
 
 if TYPE_CHECKING:
@@ -18,6 +19,8 @@
     from collections.abc import Sequence
 
 CALL_TIMEOUT_S = 2.0
+"""Time limit for the first byte of an answer, and for pauses in it."""
+
 WATCH_IDLE_TIMEOUT_S = 15.0
 """A watch without changes or progress for this long counts as lost."""
 
@@ -243,15 +246,16 @@
     async def _call_once(self, path: str, request: Any) -> dict[str, Any]:
         self._on_call(path)
         url = f"{self._endpoints[self._preferred]}/v3/{path}"
-        timeout = aiohttp.ClientTimeout(total=CALL_TIMEOUT_S)
         try:
-            async with self._session.post(
-                url, json=request, timeout=timeout
-            ) as response:
-                raw = await bodies.read_body(
-                    response, bodies.MAX_CONTROL_BYTES, self._budget
-                )
-                status = response.status
+            status, raw = await transfers.fetch_body(
+                self._session,
+                "POST",
+                url,
+                CALL_TIMEOUT_S,
+                CALL_TIMEOUT_S,
+                self._budget,
+                json=request,
+            )
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
             raise exceptions.StoreUnavailableError(
                 f"store did not answer {path}: {error!r}"
--- /dev/null
+++ b/src/cowslipshift/transfers.py
@@ -0,0 +1,93 @@
+"""Answers that may take as long as they go on arriving.
+
+A limit for a whole call would have to fit the largest answer on the narrowest
+link. One that is too short ends transfers that would have succeeded, and their
+repetitions fill the link. The limits here are for the first byte, for pauses,
+and for the average rate, which ends an answer that trickles in.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+from typing import TYPE_CHECKING
+
+import aiohttp
+
+from cowslipshift import bodies
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+MIN_BYTES_PER_S = 32 * 1024
+"""Least average rate of an answer; the narrowest links of hosts carry 20 times
+as much."""
+
+_UNLIMITED = aiohttp.ClientTimeout(total=None)
+
+
+def measure_limit(first_byte_s: float, received_bytes: int) -> float:
+    """Return how long a call may take in all, given what has arrived.
+
+    Args:
+        first_byte_s: Time limit for the first byte of the body.
+        received_bytes: Bytes of the body so far.
+    """
+    return first_byte_s + received_bytes / MIN_BYTES_PER_S
+
+
+async def fetch_body(
+    session: aiohttp.ClientSession,
+    method: str,
+    url: str,
+    first_byte_s: float,
+    pause_s: float,
+    budget: bodies.ByteBudget,
+    **options: Any,
+) -> tuple[int, bytes]:
+    """Call a peer and read its whole answer, as long as it makes progress.
+
+    Args:
+        session: HTTP session to use.
+        method: HTTP method.
+        url: URL of the call.
+        first_byte_s: Time limit until the body begins to arrive, which
+            includes the time that the peer may wait for something.
+        pause_s: Longest pause in the body.
+        budget: Counts the body while it is being read.
+        options: Options of aiohttp's requests.
+
+    Returns:
+        Status and body of the answer.
+
+    Raises:
+        TimeoutError: The answer made no progress.
+        ClientError: The connection failed, or the answer is too large.
+        OSError: The connection failed.
+    """
+    async with asyncio.timeout(first_byte_s) as limit:
+        extend = _build_extension(limit, first_byte_s, pause_s)
+        async with session.request(
+            method, url, timeout=_UNLIMITED, **options
+        ) as response:
+            raw = await bodies.read_body(
+                response, bodies.MAX_CONTROL_BYTES, budget, extend
+            )
+            return response.status, raw
+
+
+def _build_extension(
+    limit: asyncio.Timeout, first_byte_s: float, pause_s: float
+) -> Callable[[int], None]:
+    """Return what extends a limit when more of an answer has arrived."""
+    loop = asyncio.get_running_loop()
+    started_s = loop.time()
+
+    def extend(received_bytes: int) -> None:
+        until_s = min(
+            loop.time() + pause_s,
+            started_s + measure_limit(first_byte_s, received_bytes),
+        )
+        limit.reschedule(max(until_s, started_s + first_byte_s))
+
+    return extend
--- a/tests/edge/test_propagation.py
+++ b/tests/edge/test_propagation.py
@@ -23,6 +23,9 @@
 FAST_HOSTS = 2
 """Hosts of each data centre that have a fast link, unless a test has none."""
 
+LARGE_CONFIG_BYTES = 656_000
+"""Configuration with 2,800 routes."""
+
 SEEDS = range(int(os.environ.get("COWSLIPSHIFT_PROPAGATION_SEEDS", "2")))
 NARROW_SEEDS = range(max(3, len(SEEDS)))
 
@@ -112,3 +115,17 @@
     narrow_fleet,
 ) -> None:
     assert_in_time(narrow_fleet, turn_hosts_away(narrow_fleet))
+
+
+# Guards against hosts that give up each transfer of a large configuration, to
+# the store and to each other, and fill the links by asking again.
+@pytest.mark.parametrize("seed", SEEDS)
+def test_large_configurations_reach_hosts_with_narrow_links(seed) -> None:
+    fleet = virtualfleet.VirtualFleet(
+        70, 103, seed, FAST_HOSTS, BOUND_S, 5.0, LARGE_CONFIG_BYTES
+    )
+    fleet.start()
+    fleet.run(START_S)
+    written_s = write_storm(fleet, 2, 5.0)
+    assert_in_time(fleet, written_s)
+    fleet.close()
--- a/tests/edge/virtualfleet.py
+++ b/tests/edge/virtualfleet.py
@@ -14,6 +14,7 @@
 
 from tests import builders
 
+from cowslipshift import transfers
 from cowslipshift.edge import exceptions
 from cowslipshift.edge import heartbeats
 from cowslipshift.edge import messages
@@ -155,8 +156,9 @@
         size = sum(_measure(item) * 4 // 3 for item in items)
         started_s = self._fleet.loop.time()
         arrival_s = self._host.inbound.transfer(size, started_s)
-        if arrival_s - started_s > stores.CALL_TIMEOUT_S:
-            await asyncio.sleep(stores.CALL_TIMEOUT_S)
+        limit_s = transfers.measure_limit(stores.CALL_TIMEOUT_S, size)
+        if arrival_s - started_s > limit_s:
+            await asyncio.sleep(limit_s)
             raise store_exceptions.StoreUnavailableError("no answer in time")
         await asyncio.sleep(arrival_s - started_s + FAR_LATENCY_S)
         return items
@@ -183,8 +185,9 @@
         size = 100 + sum(_measure(item) for item in found.items)
         sent_s = source.outbound.transfer(size, fleet.loop.time())
         arrival_s = self._host.inbound.transfer(size, sent_s) + latency_s
-        if arrival_s - now > peerclient.PEER_TIMEOUT_S:
-            left_s = now + peerclient.PEER_TIMEOUT_S - fleet.loop.time()
+        limit_s = transfers.measure_limit(peerclient.PEER_TIMEOUT_S, size)
+        if arrival_s - now > limit_s:
+            left_s = now + limit_s - fleet.loop.time()
             await asyncio.sleep(max(0.0, left_s))
             raise exceptions.PeerError("no answer in time")
         await asyncio.sleep(arrival_s - fleet.loop.time())
@@ -321,6 +324,8 @@
         seed: Seed of what is drawn.
         fast_hosts: Number of hosts in each data centre with a fast link.
         bound_s: Time within which a configuration has to be in force.
+        slow_link_mbps: Bandwidth of the other hosts.
+        config_bytes: Size of a configuration.
     """
 
     def __init__(
@@ -330,8 +335,11 @@
         seed: int,
         fast_hosts: int,
         bound_s: float = 3.0,
+        slow_link_mbps: float = SLOW_LINK_MBPS,
+        config_bytes: int = CONFIG_BYTES,
     ) -> None:
         self.bound_s = bound_s
+        self._config_bytes = config_bytes
         self.loop = VirtualTimeLoop()
         asyncio.set_event_loop(self.loop)
         self.clock = Clock(self.loop)
@@ -350,13 +358,13 @@
         for number in range(hosts):
             centre = centres[number % len(centres)]
             is_fast = number // len(centres) < fast_hosts
-            mbps = FAST_LINK_MBPS if is_fast else SLOW_LINK_MBPS
+            mbps = FAST_LINK_MBPS if is_fast else slow_link_mbps
             member = builders.build_member(
                 f"h{number}", CENTRES[centre], centre, mbps
             )
             self.members[member.name] = member
             self.hosts[member.name] = Host(self, member, mbps)
-        self.store.put(names.CONFIG_KEY, bytes(CONFIG_BYTES))
+        self.store.put(names.CONFIG_KEY, bytes(config_bytes))
         for number in range(backends):
             self.store.put(
                 f"{names.BACKEND_PREFIX}{number}", bytes(ENTRY_BYTES)
@@ -398,7 +406,7 @@
 
     def write_configuration(self) -> int:
         """Write another configuration; return its revision."""
-        value = self.store.revision.to_bytes(CONFIG_BYTES, "big")
+        value = self.store.revision.to_bytes(self._config_bytes, "big")
         return self.store.put(names.CONFIG_KEY, value)
 
     def start(self) -> None:
