Keep links between hosts open while a large message arrives

Seen, by test: on the own interface a configuration that takes longer than the idle time of a link (3 s) to arrive never did: the receiver closed the link in the middle, and the next link sent it from the start.

Cause: the idle time was measured between whole messages.

Change: connections count the bytes that arrive, and a link is idle if none did; the least average rate ends a message that trickles in.

--- a/src/cowslipshift/connections.py
+++ b/src/cowslipshift/connections.py
@@ -91,6 +91,9 @@
     answers of one request, and parses whatever has arrived at once, however
     many heads and chunks that is. Here the parser gets a part at a time, and
     other connections have their turn behind parts that hold much framing.
+
+    Attributes:
+        received_bytes: Bytes that have arrived on the connection.
     """
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
@@ -105,6 +108,7 @@
         self._is_continuing = False
         self._parsed_bytes = 0
         self._interim_answers = 0
+        self.received_bytes = 0
 
     def set_response_params(self, **params: Any) -> None:
         """Prepare for the answer to another request."""
@@ -150,6 +154,7 @@
 
         Without data, the parser goes on with what it holds.
         """
+        self.received_bytes += len(data)
         if not data or self._upgraded or self._payload_parser is not None:
             super().data_received(data)
             self._continue_later()
--- a/src/cowslipshift/inbound/connections.py
+++ b/src/cowslipshift/inbound/connections.py
@@ -44,6 +44,10 @@
         server: aiohttp's server.
         connection_register: Knows all connections of the process.
         options: Options of aiohttp's connections.
+
+    Attributes:
+        received_bytes: Bytes that have arrived on the connection.
+        unread_bytes: Bytes of answers that were not taken, when last counted.
     """
 
     __slots__ = (
@@ -56,6 +60,7 @@
         "_is_last",
         "_register",
         "_socket_transport",
+        "received_bytes",
         "unread_bytes",
     )
 
@@ -78,6 +83,7 @@
         self._socket_transport: asyncio.Transport | None = None
         self._max_msg_queue_size = MAX_PARSED_REQUESTS
         self._msg_queue_resume_size = MAX_PARSED_REQUESTS // 2
+        self.received_bytes = 0
         self.unread_bytes = 0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -116,6 +122,7 @@
 
         Without data, go on with what was deferred.
         """
+        self.received_bytes += len(data)
         if self._force_close or self._close or self._has_ended:
             return
         if self._is_other_protocol:
--- a/src/cowslipshift/peers/network.py
+++ b/src/cowslipshift/peers/network.py
@@ -4,12 +4,16 @@
 
 import asyncio
 import contextlib
+from typing import cast
 from typing import Protocol
 from typing import TYPE_CHECKING
 
 import aiohttp
 from aiohttp import web
 
+from cowslipshift import connections
+from cowslipshift import transfers
+from cowslipshift.inbound import connections as inbound
 from cowslipshift.peers import credentials
 from cowslipshift.peers import exceptions
 from cowslipshift.peers import messages
@@ -22,6 +26,8 @@
 
 HEARTBEAT_INTERVAL_S = 1.0
 LINK_IDLE_TIMEOUT_S = 3.0
+"""Time without a byte after which a link is closed."""
+
 DIAL_INTERVAL_S = 0.3
 DIAL_TIMEOUT_S = 1.5
 CLOSE_TIMEOUT_S = 0.5
@@ -64,19 +70,39 @@
         """Record that the link to a host is closed."""
 
 
+class Connection(Protocol):
+    """The transport of a link.
+
+    Attributes:
+        received_bytes: Bytes that have arrived.
+    """
+
+    received_bytes: int
+
+
 class Link:
-    """One open connection to another host."""
+    """One open connection to another host.
+
+    Args:
+        host: The other host.
+        socket: Carries the messages.
+        connection: The transport below it.
+        dialled_by: The host that opened the connection.
+        network: The links of this host.
+    """
 
     def __init__(
         self,
         host: str,
         socket: aiohttp.ClientWebSocketResponse | web.WebSocketResponse,
+        connection: Connection,
         dialled_by: str,
         network: Network,
     ) -> None:
         self.host = host
         self.dialled_by = dialled_by
         self._socket = socket
+        self._connection = connection
         self._network = network
         self._outbox: asyncio.Queue[bytes] = asyncio.Queue(maxsize=1000)
         self._sequence = 0
@@ -136,22 +162,42 @@
             await asyncio.sleep(HEARTBEAT_INTERVAL_S)
 
     async def _run_receiver(self) -> None:
-        while True:
-            now = self._network.clock.now()
-            left_s = self._received_s + LINK_IDLE_TIMEOUT_S - now
-            if left_s <= 0:
-                return
-            try:
-                async with asyncio.timeout(left_s):
-                    frame = await self._socket.receive()
-            except TimeoutError:
-                return
+        while (frame := await self._receive()) is not None:
             if frame.type is not aiohttp.WSMsgType.BINARY:
                 return
             self._received_s = self._network.clock.now()
             self._network.count_bytes("in", len(frame.data))
             self._handle_message(messages.decode_message(frame.data))
 
+    async def _receive(self) -> aiohttp.WSMessage | None:
+        """Return the next message; ``None`` if none arrives in time.
+
+        A large message over a narrow link has time for as long as it goes on
+        arriving.
+        """
+        known_bytes = first_bytes = self._connection.received_bytes
+        until_s = self._received_s + LINK_IDLE_TIMEOUT_S
+        receiving = asyncio.ensure_future(self._socket.receive())
+        try:
+            while (now := self._network.clock.now()) < until_s:
+                await asyncio.wait((receiving,), timeout=until_s - now)
+                if receiving.done():
+                    return receiving.result()
+                arrived_bytes = self._connection.received_bytes
+                if arrived_bytes == known_bytes:
+                    return None
+                known_bytes = arrived_bytes
+                until_s = min(
+                    self._network.clock.now() + LINK_IDLE_TIMEOUT_S,
+                    self._received_s
+                    + transfers.measure_limit(
+                        LINK_IDLE_TIMEOUT_S, arrived_bytes - first_bytes
+                    ),
+                )
+            return None
+        finally:
+            receiving.cancel()
+
     def _handle_message(self, message: messages.Message) -> None:
         sent_s = None
         if isinstance(message, messages.Heartbeat):
@@ -266,7 +312,8 @@
             await socket.prepare(request)
         except ConnectionError:
             return socket
-        await self._run_link(Link(name, socket, name, self))
+        protocol = cast(inbound.InboundConnection, request.protocol)
+        await self._run_link(Link(name, socket, protocol, name, self))
         return socket
 
     async def _run_peer(self, name: str) -> None:
@@ -308,7 +355,9 @@
         if peer == self.host or (name.startswith("@") and peer in self._links):
             await _close_socket(socket)
             return
-        await self._run_link(Link(peer, socket, self.host, self))
+        assert socket._conn is not None
+        protocol = cast(connections.GuardedConnection, socket._conn.protocol)
+        await self._run_link(Link(peer, socket, protocol, self.host, self))
 
     async def _run_link(self, link: Link) -> None:
         existing = self._links.get(link.host)
