Compress what hosts send each other of the store

Seen: hosts of a data centre that all fetch a large configuration from the two with fast links hold each other up.

Change: an answer to a fetch is compressed where the fetching host accepts it (it always did, by the default of its HTTP client), and kept for hosts that are equally far behind, so that it is encoded once.

--- /dev/null
+++ b/src/cowslipshift/edge/changeserver.py
@@ -0,0 +1,65 @@
+"""Sends changes in the store to other hosts."""
+
+from __future__ import annotations
+
+import collections
+from typing import TYPE_CHECKING
+import zlib
+
+from aiohttp import hdrs
+from aiohttp import web
+
+from cowslipshift.edge import messages
+
+if TYPE_CHECKING:
+    from cowslipshift.edge import replica as replicas
+
+ENCODING = "deflate"
+COMPRESSION_LEVEL = 1
+"""Configurations repeat the same fields, which the fastest level finds."""
+
+MIN_COMPRESSED_BYTES = 1024
+"""A smaller answer fits into one packet as it is."""
+
+MAX_KEPT_ANSWERS = 8
+
+
+class ChangeServer:
+    """Answers the hosts that ask for changes in the store.
+
+    Hosts that are equally far behind get the same answer, which is kept.
+
+    Args:
+        replica: This host's replica of the store.
+    """
+
+    def __init__(self, replica: replicas.StoreReplica) -> None:
+        self._replica = replica
+        self._kept: collections.OrderedDict[
+            int, tuple[messages.Changes, bytes, bytes]
+        ] = collections.OrderedDict()
+
+    async def serve(self, request: web.Request) -> web.Response:
+        """Answer with what changed after the revision that is asked for."""
+        try:
+            after = int(request.query.get("after", "0"))
+        except ValueError:
+            return web.Response(status=400)
+        raw, compressed = self._encode(after)
+        accepted = request.headers.get(hdrs.ACCEPT_ENCODING, "")
+        if len(raw) < MIN_COMPRESSED_BYTES or ENCODING not in accepted:
+            return web.Response(body=raw)
+        return web.Response(
+            body=compressed, headers={hdrs.CONTENT_ENCODING: ENCODING}
+        )
+
+    def _encode(self, after: int) -> tuple[bytes, bytes]:
+        found = self._replica.list_changes(after)
+        kept = self._kept.pop(after, None)
+        if kept is None or kept[0] != found:
+            raw = messages.encode_changes(found)
+            kept = found, raw, zlib.compress(raw, COMPRESSION_LEVEL)
+        self._kept[after] = kept
+        if len(self._kept) > MAX_KEPT_ANSWERS:
+            self._kept.popitem(last=False)
+        return kept[1], kept[2]
--- a/src/cowslipshift/edge/service.py
+++ b/src/cowslipshift/edge/service.py
@@ -20,6 +20,7 @@
 from cowslipshift import supervision
 from cowslipshift.edge import attempts
 from cowslipshift.edge import callers
+from cowslipshift.edge import changeserver
 from cowslipshift.edge import dutyreports
 from cowslipshift.edge import gossip as gossips
 from cowslipshift.edge import handler as handlers
@@ -317,7 +318,8 @@
 
     async def _listen_internal(self) -> None:
         application = web.Application()
-        application.router.add_get("/changes", self._serve_changes)
+        changes_server = changeserver.ChangeServer(self._watcher.replica)
+        application.router.add_get("/changes", changes_server.serve)
         application.router.add_get("/metrics", self._serve_metrics)
         if self._usage is not None:
             application.router.add_get("/usage", self._serve_counts)
@@ -399,14 +401,6 @@
             content_type="application/json",
         )
 
-    async def _serve_changes(self, request: web.Request) -> web.Response:
-        try:
-            after = int(request.query.get("after", "0"))
-        except ValueError:
-            return web.Response(status=400)
-        found = self._watcher.replica.list_changes(after)
-        return web.Response(body=messages.encode_changes(found))
-
     async def _serve_counts(self, request: web.Request) -> web.Response:
         try:
             first = int(request.query.get("first", "0"))
