Take a lost call to the store for no outage

Cause: each failed call was recorded as an outage of the store. During one, and for 2.2 s after it, entries that vanish may have expired and be registered again, so their servers stay in use; cuts that come more often extended that without end. A failed call also made a host hand the watch of its region to another one.

Change: a failure is only suspected to be an outage, until a call that was begun after it has failed as well. Writes of roll-out stages that were lost make a host ask for changes, not read the whole store.

--- a/src/cowslipshift/edge/registration.py
+++ b/src/cowslipshift/edge/registration.py
@@ -13,6 +13,7 @@
 from cowslipshift.telemetry import logs
 
 if TYPE_CHECKING:
+    from cowslipshift import clock as clocks
     from cowslipshift.edge import watcher as watchers
     from cowslipshift.platform import store as stores
     from cowslipshift.steering import model
@@ -31,6 +32,7 @@
     """Keeps a host's entry in the store and renews its lease.
 
     Args:
+        clock: Source of the present time.
         own: The entry to register.
         store: The platform's store.
         watcher: Receives whether the store answers.
@@ -38,10 +40,12 @@
 
     def __init__(
         self,
+        clock: clocks.Clock,
         own: model.Member,
         store: stores.PlatformStore,
         watcher: watchers.Watcher,
     ) -> None:
+        self._clock = clock
         self._own = own
         self._store = store
         self._watcher = watcher
@@ -54,11 +58,12 @@
         """Register the host and renew its lease until cancelled."""
         while True:
             self._has_lost_entry.clear()
+            started_s = self._clock.now()
             try:
                 await self._renew()
-                self._watcher.record_store_result(True)
+                self._watcher.record_store_answer()
             except store_exceptions.StoreError as error:
-                self._watcher.record_store_result(False, error)
+                self._watcher.record_store_failure(error, started_s)
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(LEASE_RENEWAL_INTERVAL_S):
                     await asyncio.sleep(MIN_WRITE_INTERVAL_S)
--- a/src/cowslipshift/edge/rolloutcontroller.py
+++ b/src/cowslipshift/edge/rolloutcontroller.py
@@ -56,6 +56,7 @@
     ) -> None:
         key = names.STAGE_PREFIX + rollout.service
         state = "running" if stage.state == rollouts.WATCHING else stage.state
+        started_s = self._clock.now()
         try:
             is_written = await self._store.swap_items(
                 {key: rollout.stage_revision},
@@ -67,8 +68,8 @@
                 },
             )
         except store_exceptions.StoreError as error:
-            self._watcher.record_store_result(False, error)
-            self._watcher.request_reread()
+            self._watcher.record_store_failure(error, started_s)
+            self._watcher.request_changes()
             return
         self._log.info(
             "stage_written" if is_written else "stage_lost",
@@ -81,4 +82,4 @@
         # then no other stage is due.
         rollout.defer(now=self._clock.now())
         if not is_written:
-            self._watcher.request_reread()
+            self._watcher.request_changes()
--- a/src/cowslipshift/edge/service.py
+++ b/src/cowslipshift/edge/service.py
@@ -276,7 +276,7 @@
             * watchers.MAX_AGE_BOUND_FRACTION,
         )
         self._registration = registration.HostRegistration(
-            self._own, self._store, self._watcher
+            self._clock, self._own, self._store, self._watcher
         )
         self._usage = dutyreports.assemble_reports(
             settings,
--- a/src/cowslipshift/edge/watcher.py
+++ b/src/cowslipshift/edge/watcher.py
@@ -22,6 +22,7 @@
 from cowslipshift.edge import exceptions
 from cowslipshift.edge import replica as replicas
 from cowslipshift.steering import freshness
+from cowslipshift.steering import storecontact
 from cowslipshift.store import exceptions as store_exceptions
 from cowslipshift.store import interface
 from cowslipshift.telemetry import logs
@@ -79,14 +80,14 @@
         client: Fetches changes from other hosts.
         on_change: Called with each item that changed; returns whether it is
             outdated.
-        on_store_failure: Called each time a call to the store fails.
+        on_store_outage: Called each time a call to the store fails during an
+            outage.
         on_revision: Called when changes were applied to the replica.
         max_age_s: Time without proof of being current after which the host
             watches the store itself.
 
     Attributes:
         replica: This host's replica of the store.
-        is_store_reachable: Whether the last call to the store succeeded.
     """
 
     def __init__(
@@ -97,18 +98,17 @@
         overlay: overlays.Overlay,
         client: ChangeClient,
         on_change: Callable[[interface.Item], bool],
-        on_store_failure: Callable[[], None],
+        on_store_outage: Callable[[], None],
         on_revision: Callable[[], None],
         max_age_s: float = DEFAULT_MAX_AGE_S,
     ) -> None:
         self.replica = replicas.StoreReplica(on_change)
-        self.is_store_reachable = False
         self._clock = clock
         self._store = store
         self._membership = membership
         self._overlay = overlay
         self._client = client
-        self._on_store_failure = on_store_failure
+        self._on_store_outage = on_store_outage
         self._on_revision = on_revision
         self._max_age_s = max_age_s
         self._needs_snapshot = True
@@ -118,6 +118,7 @@
         self._peer_revisions: dict[str, int] = {}
         self._behind_since_s: float | None = None
         self._freshness = freshness.Freshness()
+        self._contact = storecontact.StoreContact()
         self._log = logs.EventLog("watcher")
 
     async def run(self) -> None:
@@ -130,6 +131,7 @@
             try:
                 await self._read_or_watch()
             except store_exceptions.HistoryGoneError:
+                self.record_store_answer()
                 self._log.info("history_gone", revision=self.replica.revision)
                 self._needs_snapshot = True
             except store_exceptions.StoreError as error:
@@ -141,9 +143,18 @@
                     revision=self.replica.revision,
                     replica_age_s=self.measure_age(now),
                 )
-                self._record_store_failure(error)
+                self.record_store_failure(error, started_s)
                 await asyncio.sleep(STORE_RETRY_DELAY_S)
 
+    @property
+    def is_store_reachable(self) -> bool:
+        """Whether the store answers, as far as its last calls tell."""
+        return self._contact.is_reachable
+
+    def request_changes(self) -> None:
+        """Ask the store for what has changed."""
+        self._needs_changes = True
+
     def request_reread(self) -> None:
         """Read all items again, as the replica may be out of date."""
         self._needs_snapshot = True
@@ -206,14 +217,25 @@
         )
         return [member for member in found if member is not None]
 
-    def record_store_result(
-        self, has_succeeded: bool, reason: object = ""
-    ) -> None:
-        """Record whether another component's call to the store succeeded."""
-        if has_succeeded:
-            self._record_store_success()
-        else:
-            self._record_store_failure(reason)
+    def record_store_answer(self) -> None:
+        """Record that a call to the store was answered."""
+        if not self._contact.is_reachable:
+            self._log.info("store_reached", revision=self.replica.revision)
+        self._contact.record_answer()
+
+    def record_store_failure(self, reason: object, started_s: float) -> None:
+        """Record that a call to the store failed.
+
+        Args:
+            reason: Why, for the log.
+            started_s: When the call was begun.
+        """
+        was_reachable = self._contact.is_reachable
+        if not self._contact.record_failure(started_s, self._clock.now()):
+            return
+        if was_reachable:
+            self._log.warn("store_lost", reason=reason)
+        self._on_store_outage()
 
     def measure_behind(self, now: float) -> float:
         """Return for how long a newer revision has been known of.
@@ -246,6 +268,7 @@
         return (
             self._needs_snapshot
             or self._needs_changes
+            or self._contact.is_suspected
             or self.measure_age(now) > self._max_age_s
             or self.is_watching
         )
@@ -255,7 +278,7 @@
             started_s = self._clock.now()
             snapshot = await self._store.read_prefix(ALL_KEYS)
             self._needs_snapshot = False
-            self._record_store_success()
+            self.record_store_answer()
             self._log.info(
                 "view_read",
                 revision=snapshot.revision,
@@ -269,12 +292,17 @@
             self.record_proof(snapshot.revision, started_s)
             return
         self._needs_changes = False
+        # A watch that waits may be cut; one that does not tells at once
+        # whether the store answers.
+        wait_s = (
+            0.0
+            if self._contact.is_suspected
+            else self._max_age_s * WATCH_WAIT_FRACTION
+        )
         found = await self._store.watch_prefix(
-            ALL_KEYS,
-            self.replica.revision,
-            self._max_age_s * WATCH_WAIT_FRACTION,
+            ALL_KEYS, self.replica.revision, wait_s
         )
-        self._record_store_success()
+        self.record_store_answer()
         self._notify(self.replica.apply_changes(found.items, found.revision))
         self.record_proof(found.revision, self._clock.now())
         if found.items:
@@ -328,14 +356,3 @@
         )
         if changed:
             self._on_revision()
-
-    def _record_store_failure(self, reason: object) -> None:
-        self._on_store_failure()
-        if self.is_store_reachable:
-            self._log.warn("store_lost", reason=reason)
-        self.is_store_reachable = False
-
-    def _record_store_success(self) -> None:
-        if not self.is_store_reachable:
-            self._log.info("store_reached", revision=self.replica.revision)
-        self.is_store_reachable = True
--- a/src/cowslipshift/standins/platformstore.py
+++ b/src/cowslipshift/standins/platformstore.py
@@ -2,7 +2,7 @@
 
 It keeps its state in memory. Tests can make it unavailable, slow or silent,
 make it refuse callers, lose the answers of writes that took effect, answer
-with invalid JSON, or compact its history.
+with invalid JSON, cut watches, or compact its history.
 """
 
 from __future__ import annotations
@@ -68,6 +68,7 @@
         self._compacted_revision = 0
         self._leases: dict[int, tuple[float, float]] = {}
         self._changed = asyncio.Event()
+        self._watches: dict[int, web.Request] = {}
 
     def put(self, key: str, value: bytes, lease: int = 0) -> int:
         """Write an item, without the access checks of transactions.
@@ -171,6 +172,12 @@
         self._history.clear()
         self._compacted_revision = self.revision
 
+    def cut_watches(self) -> None:
+        """Close the connections of the watches that are waiting."""
+        for request in self._watches.values():
+            if request.transport is not None:
+                request.transport.close()
+
     def build_application(self) -> web.Application:
         """Return the HTTP application."""
         application = web.Application()
@@ -244,11 +251,15 @@
         )
 
     async def _serve_watch(self, request: web.Request) -> web.Response:
-        found = await self.wait_for_events(
-            request.query["prefix"],
-            int(request.query["after"]),
-            int(request.query["wait_ms"]) / 1000.0,
-        )
+        self._watches[id(request)] = request
+        try:
+            found = await self.wait_for_events(
+                request.query["prefix"],
+                int(request.query["after"]),
+                int(request.query["wait_ms"]) / 1000.0,
+            )
+        finally:
+            del self._watches[id(request)]
         if found is None:
             return web.Response(status=410)
         events, revision = found
--- a/tests/edge/test_registration.py
+++ b/tests/edge/test_registration.py
@@ -8,6 +8,7 @@
 import pytest
 from tests import builders
 
+from cowslipshift import clock as clocks
 from cowslipshift.edge import registration
 from cowslipshift.platform import names
 from cowslipshift.standins import platformfleet
@@ -47,7 +48,10 @@
 
 
 class StoreObserver:
-    def record_store_result(self, has_succeeded, reason="") -> None:
+    def record_store_answer(self) -> None:
+        pass
+
+    def record_store_failure(self, reason, started_s) -> None:
         pass
 
 
@@ -66,7 +70,9 @@
 ) -> None:
     monkeypatch.setattr(registration, "LEASE_RENEWAL_INTERVAL_S", 0.02)
     store.write_results = [failure, failure]
-    host = registration.HostRegistration(OWN, store, StoreObserver())
+    host = registration.HostRegistration(
+        clocks.SystemClock(), OWN, store, StoreObserver()
+    )
     task = asyncio.create_task(host.run())
     await platformfleet.wait_until(lambda: bool(store.written))
     await asyncio.sleep(0.1)
--- a/tests/edge/test_watcher.py
+++ b/tests/edge/test_watcher.py
@@ -12,8 +12,10 @@
 from cowslipshift.edge import exceptions
 from cowslipshift.edge import messages
 from cowslipshift.edge import watcher as watchers
+from cowslipshift.platform import names
 from cowslipshift.standins import platformfleet
 from cowslipshift.steering import overlay as overlays
+from cowslipshift.store import exceptions as store_exceptions
 from cowslipshift.store import interface
 
 if TYPE_CHECKING:
@@ -28,6 +30,8 @@
     def __init__(self) -> None:
         self.calls: list[str] = []
         self.revision = REVISION
+        self.cuts_waiting = False
+        self.is_down = False
 
     async def read_prefix(self, prefix: str) -> interface.Snapshot:
         self.calls.append("read")
@@ -37,8 +41,12 @@
         self, prefix: str, after: int, wait_s: float
     ) -> interface.Snapshot:
         self.calls.append(f"watch {after}")
+        if self.is_down:
+            raise store_exceptions.StoreUnavailableError("down")
         if after == self.revision:
             await asyncio.sleep(wait_s)
+            if wait_s and self.cuts_waiting:
+                raise store_exceptions.StoreUnavailableError("cut")
         return interface.Snapshot((), self.revision)
 
 
@@ -69,6 +77,7 @@
     def __init__(self) -> None:
         self.store = Store()
         self.client = Client()
+        self.outages = 0
         self.membership = builders.build_balancer("h1").membership
         self.watcher = watchers.Watcher(
             clocks.SystemClock(),
@@ -77,10 +86,13 @@
             overlays.Overlay(self.membership),
             self.client,
             lambda item: False,
-            lambda: None,
+            self.count_outage,
             lambda: None,
         )
 
+    def count_outage(self) -> None:
+        self.outages += 1
+
     def hear(self, name: str, revision: int) -> None:
         now = clocks.SystemClock().now()
         if self.membership.find_member(name) is None:
@@ -172,3 +184,38 @@
     setup.client.answers.set()
     await platformfleet.wait_until(lambda: setup.watcher.replica.revision == 7)
     assert setup.watcher.measure_behind(clock.now()) < 0.25
+
+
+# Guards against DRAIN: hosts that take a watch that was cut for an outage of
+# the store, and keep removed servers as they may be registered again.
+async def test_cut_watches_are_no_outage(setup, monkeypatch) -> None:
+    monkeypatch.setattr(watchers.Watcher, "is_watching", True)
+    setup.store.cuts_waiting = True
+    await platformfleet.wait_until(lambda: len(setup.store.calls) >= 6)
+    assert setup.outages == 0
+    assert setup.watcher.is_store_reachable
+
+
+async def test_store_that_does_not_answer_again_is_an_outage(setup) -> None:
+    setup.store.is_down = True
+    setup.watcher.record_store_failure("no answer", 0.0)
+    await platformfleet.wait_until(lambda: setup.outages > 0)
+    assert not setup.watcher.is_store_reachable
+    setup.store.is_down = False
+    await platformfleet.wait_until(lambda: setup.watcher.is_store_reachable)
+
+
+# Guards against DRAIN, with real hosts: cut watches keep a removed server in
+# use.
+async def test_removed_server_leaves_while_watches_are_cut() -> None:
+    async with platformfleet.PlatformFleet() as fleet:
+        identity = next(iter(fleet.backends))
+        for _ in range(5):
+            fleet.store.cut_watches()
+            await asyncio.sleep(0.25)
+        fleet.store.delete(names.BACKEND_PREFIX + identity)
+        for _ in range(6):
+            fleet.store.cut_watches()
+            await asyncio.sleep(0.25)
+        for host in fleet.hosts:
+            assert identity not in host.balancer.inventory.by_id
--- a/tests/edge/virtualfleet.py
+++ b/tests/edge/virtualfleet.py
@@ -299,8 +299,12 @@
                 self.name in self._fleet.refused
                 or self._fleet.is_dead(self.name)
             )
-            self.watcher.record_store_result(not is_refused)
-            if not is_refused:
+            if is_refused:
+                self.watcher.record_store_failure(
+                    "turned away", self._fleet.loop.time()
+                )
+            else:
+                self.watcher.record_store_answer()
                 self._fleet.renew_registration(self.member)
             await asyncio.sleep(registration.LEASE_RENEWAL_INTERVAL_S)
 
