Pass on no answer whose status HTTP does not have

Seen, by test: 000 and 099 were refused already on both interfaces, as they are below 200 (callers get 502, or an idempotent request is sent once more). 600 and 999 were passed on as they were, on both interfaces. Of another host, the own interface also believed 000, 099 and 101.

Change: final statuses are 200 to 599; any other ends the connection, and the request may have run. Answers of other hosts are checked like those of servers. Time for the transfer of outcomes to another host grows with its size.

--- a/src/cowslipshift/connections.py
+++ b/src/cowslipshift/connections.py
@@ -143,7 +143,7 @@
     def feed_data(self, data: Any, size: int = 0) -> None:
         """Note whether the head of a final answer has arrived."""
         message, _ = data
-        if message.code >= statuses.FIRST_FINAL:
+        if message.code not in statuses.INTERIM:
             self._has_final_head = True
         else:
             self._interim_answers += 1
@@ -284,12 +284,14 @@
 
 
 def check_final(response: aiohttp.ClientResponse) -> None:
-    """Close the connection of an answer that switches to another protocol.
+    """Close the connection of an answer whose status is no final one.
+
+    It switches to another protocol, or is none that HTTP has.
 
     Raises:
         ClientPayloadError: The answer is not a final one.
     """
-    if response.status >= statuses.FIRST_FINAL:
+    if response.status in statuses.FINAL:
         return
     response.close()
     raise aiohttp.ClientPayloadError(
--- a/src/cowslipshift/serving/backend/forwarding.py
+++ b/src/cowslipshift/serving/backend/forwarding.py
@@ -12,7 +12,9 @@
 import yarl
 
 from cowslipshift import bodies
+from cowslipshift import connections
 from cowslipshift import statuses
+from cowslipshift import transfers
 from cowslipshift.coordination import attempts
 from cowslipshift.peers import credentials
 from cowslipshift.serving import calls
@@ -129,12 +131,15 @@
         address = self._find_address(target)
         if address is None:
             return False
+        raw = msgspec.json.encode(transfer)
         try:
             async with (
-                asyncio.timeout(RECALL_TIMEOUT_S * 2),
+                asyncio.timeout(
+                    transfers.measure_limit(RECALL_TIMEOUT_S * 2, len(raw))
+                ),
                 self._sessions.fresh.post(
                     f"http://{address}/peer/outcomes",
-                    data=msgspec.json.encode(transfer),
+                    data=raw,
                     headers=self._sign(),
                 ) as response,
             ):
@@ -183,6 +188,7 @@
         if response.headers.get(wire.ATTEMPT_HEADER) != attempt:
             response.close()
             raise aiohttp.ClientPayloadError("answer to another attempt")
+        connections.check_final(response)
         return response
 
     async def _read_reply(
--- a/src/cowslipshift/statuses.py
+++ b/src/cowslipshift/statuses.py
@@ -12,7 +12,10 @@
 )
 """Statuses that promise the caller that its request never runs."""
 
-FIRST_FINAL = 200
-"""Answers below this status are interim; another one follows."""
+INTERIM = range(100, 200)
+"""Statuses of answers that are followed by another one."""
+
+FINAL = range(200, 600)
+"""Statuses of final answers; HTTP has no others."""
 
 FIRST_ERROR = 400
--- a/src/cowslipshift/transfers.py
+++ b/src/cowslipshift/transfers.py
@@ -26,14 +26,14 @@
 _UNLIMITED = aiohttp.ClientTimeout(total=None)
 
 
-def measure_limit(first_byte_s: float, received_bytes: int) -> float:
-    """Return how long a call may take in all, given what has arrived.
+def measure_limit(first_byte_s: float, size: int) -> float:
+    """Return how long a call may take in all.
 
     Args:
-        first_byte_s: Time limit for the first byte of the body.
-        received_bytes: Bytes of the body so far.
+        first_byte_s: Time limit without a body.
+        size: Bytes of the body that were sent, or have arrived so far.
     """
-    return first_byte_s + received_bytes / MIN_BYTES_PER_S
+    return first_byte_s + size / MIN_BYTES_PER_S
 
 
 async def fetch_body(
--- a/tests/edge/test_faulty_backends.py
+++ b/tests/edge/test_faulty_backends.py
@@ -284,3 +284,23 @@
         )
         assert [a.body == LONG_BODY for a in answers] == [True] * 20
     await client.close()
+
+
+# Guards against MIXED: a caller gets an answer whose status is none of HTTP.
+@pytest.mark.parametrize("status", ["000", "099", "600", "999"])
+@pytest.mark.parametrize("is_write", [False, True])
+async def test_answer_without_a_valid_status_is_not_passed_on(
+    fleet, is_write, status
+) -> None:
+    def script(headers: dict[str, str], number: int) -> list[Step]:
+        request_id = headers[names.REQUEST_ID_HEADER.lower()]
+        return [Step(faultyserver.build_answer(request_id, b"x", status))]
+
+    service = (
+        platformfleet.WRITE_SERVICE if is_write else platformfleet.READ_SERVICE
+    )
+    async with faultyserver.FaultyServer(script) as server:
+        await faultyserver.replace_servers(fleet, server, service=service)
+        answer = await rawcaller.send_one(fleet, "w", is_write)
+        assert server.request_ids == ["w"]
+        assert answer.status == 502
--- a/tests/serving/test_forwarding.py
+++ b/tests/serving/test_forwarding.py
@@ -163,3 +163,22 @@
     with pytest.raises(forwarding.ForwardFailedError) as raised:
         await forward(script, is_idempotent)
     assert not raised.value.not_run
+
+
+# Guards against MIXED: a caller gets an answer whose status is none of HTTP.
+@pytest.mark.parametrize("status", ["000", "099", 101, 600, 999])
+async def test_status_that_is_no_final_one_is_no_answer(status) -> None:
+    def script(headers, number) -> list[faultyserver.Step]:
+        return [
+            faultyserver.Step(
+                faultyserver.build_plain_answer(
+                    status,
+                    name_attempt(headers),
+                    f"{wire.RESULT_HEADER}: {wire.RESULT_ANSWERED}",
+                )
+            )
+        ]
+
+    with pytest.raises(forwarding.ForwardFailedError) as raised:
+        await forward(script, is_idempotent=True)
+    assert not raised.value.not_run
