--- a/bench/answers.py
+++ b/bench/answers.py
@@ -33,6 +33,7 @@
 from cowslipshift.serving.backend import wire
 from cowslipshift.store import client as store_client
 from cowslipshift.store import exceptions as store_exceptions
+from cowslipshift.store import interface
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
@@ -272,7 +273,7 @@
     )
 
     async def call(number: int) -> str:
-        await client.fetch_changes(f"127.0.0.1:{port}", 0)
+        await client.fetch_changes(f"127.0.0.1:{port}", interface.Position())
         return "changes"
 
     return call
--- a/src/cowslipshift/duties/model.py
+++ b/src/cowslipshift/duties/model.py
@@ -97,6 +97,7 @@
     incarnation: int,
     lease: int,
     first_window: int,
+    min_token: int = 0,
 ) -> Record:
     """Build the record of a host that takes the duty.
 
@@ -106,8 +107,11 @@
         incarnation: Which process of the host.
         lease: Lease of the host.
         first_window: First window to report if none was reported before.
+        min_token: A token that was taken before, of which the store may have
+            lost the record.
     """
-    holder = Holder(host, incarnation, state.token + 1, lease)
+    token = max(state.token, min_token) + 1
+    holder = Holder(host, incarnation, token, lease)
     known = state.record
     if known is None:
         return Record(holder, (), first_window)
--- a/src/cowslipshift/duties/tenure.py
+++ b/src/cowslipshift/duties/tenure.py
@@ -59,6 +59,7 @@
         self._host = host
         self._incarnation = incarnation
         self._policy = policy
+        self._lost_token = 0
         self._lease = 0
         self._until_s = -math.inf
         self._next_renewal_s = -math.inf
@@ -184,6 +185,19 @@
         elif isinstance(action, actions.WriteRecord):
             self._needs_read = True
 
+    def begin_era(self, now: float) -> None:
+        """Stop, as the store may have lost the lease and both entries.
+
+        The duty may be taken again once the entries have been read.
+        """
+        self._lost_token = max(self._lost_token, self.state.token)
+        self.state = model.DutyState()
+        self._ended_lease = 0
+        self._needs_read = True
+        self._retry_s = now
+        self._vacant_since_s = None
+        self._drop()
+
     def give_up(self, now: float) -> None:
         """End the tenure at once, and leave the duty to others for a while."""
         self._ended_lease = self._lease
@@ -214,6 +228,7 @@
             self._incarnation,
             self._lease,
             present_window,
+            self._lost_token,
         )
         return actions.WriteRecord(state, record, True)
 
--- a/src/cowslipshift/edge/changeserver.py
+++ b/src/cowslipshift/edge/changeserver.py
@@ -10,6 +10,7 @@
 from aiohttp import web
 
 from cowslipshift.edge import messages
+from cowslipshift.store import interface
 
 if TYPE_CHECKING:
     from cowslipshift.edge import replica as replicas
@@ -36,16 +37,17 @@
     def __init__(self, replica: replicas.StoreReplica) -> None:
         self._replica = replica
         self._kept: collections.OrderedDict[
-            int, tuple[messages.Changes, bytes, bytes]
+            interface.Position, tuple[messages.Changes, bytes, bytes]
         ] = collections.OrderedDict()
 
     async def serve(self, request: web.Request) -> web.Response:
-        """Answer with what changed after the revision that is asked for."""
+        """Answer with what changed after the position that is asked for."""
         try:
             after = int(request.query.get("after", "0"))
+            era = int(request.query.get("era", self._replica.era))
         except ValueError:
             return web.Response(status=400)
-        raw, compressed = self._encode(after)
+        raw, compressed = self._encode(interface.Position(era, after))
         accepted = request.headers.get(hdrs.ACCEPT_ENCODING, "")
         if len(raw) < MIN_COMPRESSED_BYTES or ENCODING not in accepted:
             return web.Response(body=raw)
@@ -53,8 +55,8 @@
             body=compressed, headers={hdrs.CONTENT_ENCODING: ENCODING}
         )
 
-    def _encode(self, after: int) -> tuple[bytes, bytes]:
-        found = self._replica.list_changes(after)
+    def _encode(self, after: interface.Position) -> tuple[bytes, bytes]:
+        found = self._replica.list_changes(after.revision, after.era)
         kept = self._kept.pop(after, None)
         if kept is None or kept[0] != found:
             raw = messages.encode_changes(found)
--- a/src/cowslipshift/edge/dutyreports.py
+++ b/src/cowslipshift/edge/dutyreports.py
@@ -200,6 +200,11 @@
                 HOLDER_INTERVAL_S if self._tenure.token else IDLE_INTERVAL_S
             )
 
+    def begin_era(self) -> None:
+        """Stop acting as the holder, as the store has lost a part of it."""
+        self._tenure.begin_era(self._clock.now())
+        self._log_turn()
+
     async def stop(self) -> None:
         """Give the duty up, so that another host takes it at once."""
         self._is_leaving = True
--- a/src/cowslipshift/edge/heartbeats.py
+++ b/src/cowslipshift/edge/heartbeats.py
@@ -231,10 +231,11 @@
                     report.rejects_new_version,
                     report.elapsed_s,
                     now,
+                    report.version,
                 )
         self._watcher.record_heartbeat(heartbeat)
         self._watcher.record_proof(
-            heartbeat.revision, now - heartbeat.current_age_s
+            heartbeat.position, now - heartbeat.current_age_s
         )
 
     def _build(self, now: float, is_urgent: bool) -> messages.Heartbeat:
@@ -247,6 +248,7 @@
                 rollout.counts,
                 rollout.rejects_new_version,
                 rollout.measure_elapsed(now),
+                rollout.order.version,
             )
             for rollout in self._balancer.rollouts.values()
             if rollout.order is not None
@@ -256,6 +258,7 @@
             incarnation=own.incarnation,
             sequence=self._sequence,
             revision=self._watcher.replica.revision,
+            era=self._watcher.replica.era,
             is_leaving=self.is_leaving,
             is_urgent=is_urgent,
             is_store_reachable=self._watcher.is_store_reachable,
--- a/src/cowslipshift/edge/messages.capnp
+++ b/src/cowslipshift/edge/messages.capnp
@@ -18,6 +18,7 @@
   oldBad @5 :UInt32;
   condemns @6 :Bool;
   elapsedMs @7 :UInt32;
+  version @8 :Text;
 }
 
 struct ServerLimit {
@@ -54,6 +55,7 @@
   serverLimits @10 :List(ServerLimit);
   serverLoads @11 :List(ServerLoad);
   demands @12 :List(Demand);
+  era @13 :UInt32;
 }
 
 struct Passage {
@@ -71,10 +73,12 @@
   value @1 :Data;
   revision @2 :UInt64;
   isDeleted @3 :Bool;
+  created @4 :UInt64;
 }
 
 struct Changes {
   revision @0 :UInt64;
   isWhole @1 :Bool;
   items @2 :List(StoreItem);
+  era @3 :UInt32;
 }
--- a/src/cowslipshift/edge/messages.py
+++ b/src/cowslipshift/edge/messages.py
@@ -43,10 +43,11 @@
     """What one host has counted for one roll-out.
 
     Attributes:
-        order: Store revision of the order that the roll-out follows.
+        order: Number of the order that the roll-out follows.
         rejects_new_version: Whether the host has stopped using the new
             version.
         elapsed_s: Time since the order that the host knows of.
+        version: The new version; empty if the host does not tell.
     """
 
     service: str
@@ -54,6 +55,7 @@
     counts: rollouts.Counts
     rejects_new_version: bool
     elapsed_s: float = 0.0
+    version: str = ""
 
 
 class Heartbeat(msgspec.Struct, frozen=True):
@@ -71,6 +73,7 @@
         demands: Rates at which the host's callers ask for services.
         usages: Admitted requests and demand by account.
         reports: Counts of each roll-out.
+        era: Era of the store that the revision belongs to.
     """
 
     host: str
@@ -86,6 +89,12 @@
     server_limits: list[serverlimits.ServerLimitReport] = []
     server_loads: list[load_reports.ServerLoadReport] = []
     demands: list[demand.DemandReport] = []
+    era: int = 0
+
+    @property
+    def position(self) -> interface.Position:
+        """Position of the store that the host's replica has reached."""
+        return interface.Position(self.era, self.revision)
 
 
 class EncodedHeartbeat(msgspec.Struct, frozen=True):
@@ -118,11 +127,18 @@
     Attributes:
         revision: Store revision up to which the items are complete.
         is_snapshot: Whether these are all items, not only what changed.
+        era: Era of the store that the revision belongs to.
     """
 
     revision: int
     is_snapshot: bool
     items: tuple[interface.Item, ...]
+    era: int = 0
+
+    @property
+    def position(self) -> interface.Position:
+        """Position of the store up to which the items are complete."""
+        return interface.Position(self.era, self.revision)
 
 
 def encode_heartbeat(heartbeat: Heartbeat) -> bytes:
@@ -132,6 +148,7 @@
         incarnation=heartbeat.incarnation,
         sequence=heartbeat.sequence,
         revision=heartbeat.revision,
+        era=heartbeat.era,
         isLeaving=heartbeat.is_leaving,
         isUrgent=heartbeat.is_urgent,
         hasStore=heartbeat.is_store_reachable,
@@ -155,6 +172,7 @@
                 "oldBad": r.counts.old_bad,
                 "condemns": r.rejects_new_version,
                 "elapsedMs": round(r.elapsed_s * MS_PER_S),
+                "version": r.version,
             }
             for r in heartbeat.reports
         ],
@@ -217,6 +235,7 @@
                     ),
                     r.condemns,
                     r.elapsedMs / MS_PER_S,
+                    r.version,
                 )
                 for r in reader.rollouts
             ],
@@ -240,6 +259,7 @@
                 demand.DemandReport(r.service, r.region, _check_rate(r.rate))
                 for r in reader.demands
             ],
+            era=reader.era,
         )
     except (capnp.KjException, packing.PackingError, ValueError) as error:
         raise exceptions.PeerError(
@@ -322,12 +342,14 @@
     """Encode store changes in packed form."""
     message = _schema.Changes.new_message(
         revision=changes.revision,
+        era=changes.era,
         isWhole=changes.is_snapshot,
         items=[
             {
                 "key": item.key,
                 "value": item.value or b"",
                 "revision": item.revision,
+                "created": item.created,
                 "isDeleted": item.value is None,
             }
             for item in changes.items
@@ -356,9 +378,11 @@
                     item.key,
                     None if item.isDeleted else bytes(item.value),
                     item.revision,
+                    item.created,
                 )
                 for item in reader.items
             ),
+            reader.era,
         )
     except (capnp.KjException, packing.PackingError, ValueError) as error:
         raise exceptions.PeerError(
--- a/src/cowslipshift/edge/metrics.py
+++ b/src/cowslipshift/edge/metrics.py
@@ -9,6 +9,7 @@
 
 if TYPE_CHECKING:
     from cowslipshift.steering import model
+    from cowslipshift.store import interface
 
 LATENCY_BUCKETS_S = (0.05, 0.1, 0.2, 0.4, 0.6, 1.0, 1.5, 2.5, 4.0, 8.0)
 
@@ -43,6 +44,10 @@
                 ("cowslipshift_fetches_total", "Changes asked of hosts."),
                 ("cowslipshift_usage_calls_total", "Usage reports sent."),
                 ("cowslipshift_duty_turns_total", "Turns at the duty."),
+                (
+                    "cowslipshift_store_eras_total",
+                    "Times that the store came back from a copy.",
+                ),
             )
         }
         self._gauges = {
@@ -51,6 +56,7 @@
             )
             for name, doc in (
                 ("cowslipshift_store_revision", "Revision of the replica."),
+                ("cowslipshift_store_era", "Era of that revision."),
                 ("cowslipshift_config_version", "Configuration in force."),
                 (
                     "cowslipshift_behind_seconds",
@@ -166,19 +172,28 @@
         """Count that this host took the duty, or lost it."""
         self._add("cowslipshift_duty_turns_total", event=event)
 
+    def count_store_era(self) -> None:
+        """Count that the store has come back from a copy."""
+        self._add("cowslipshift_store_eras_total")
+
     def set_replica_state(
-        self, revision: int, version: int, behind_s: float, age_s: float
+        self,
+        position: interface.Position,
+        version: int,
+        behind_s: float,
+        age_s: float,
     ) -> None:
         """Record how far this host has followed the store.
 
         Args:
-            revision: Store revision of the replica.
+            position: Position of the replica.
             version: Version of the configuration in force.
             behind_s: Seconds for which a newer revision has been known of.
             age_s: Seconds since the replica was last proven current.
         """
         for name, value in (
-            ("cowslipshift_store_revision", revision),
+            ("cowslipshift_store_revision", position.revision),
+            ("cowslipshift_store_era", position.era),
             ("cowslipshift_config_version", version),
             ("cowslipshift_behind_seconds", behind_s),
             ("cowslipshift_replica_age_seconds", age_s),
--- a/src/cowslipshift/edge/peerclient.py
+++ b/src/cowslipshift/edge/peerclient.py
@@ -16,6 +16,7 @@
 
     from cowslipshift import bodies
     from cowslipshift.duties import collection
+    from cowslipshift.store import interface
 
 PEER_TIMEOUT_S = 0.6
 """Time limit for the first byte of an answer, and for pauses in it."""
@@ -42,19 +43,20 @@
         self._budget = budget
 
     async def fetch_changes(
-        self, address: str, after: int
+        self, address: str, after: interface.Position
     ) -> messages.Changes:
         """Fetch what changed in the store after a revision.
 
         Args:
             address: ``ip:port`` of the other host.
-            after: Store revision of the own replica.
+            after: Position of the own replica.
 
         Raises:
             PeerError: The other host gave no valid answer in time.
         """
         raw = await self._fetch(
-            f"http://{address}/changes", {"after": str(after)}
+            f"http://{address}/changes",
+            {"after": str(after.revision), "era": str(after.era)},
         )
         return messages.decode_changes(raw)
 
@@ -77,7 +79,7 @@
 
     async def _fetch(self, url: str, params: dict[str, str]) -> bytes:
         try:
-            status, raw = await transfers.fetch_body(
+            answer = await transfers.fetch_body(
                 self._session,
                 "GET",
                 url,
@@ -89,9 +91,9 @@
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
             self._on_fetch("none", 0)
             raise exceptions.PeerError(repr(error)) from error
-        self._on_fetch(str(status), len(raw))
-        if status != 200:
+        self._on_fetch(str(answer.status), len(answer.body))
+        if answer.status != 200:
             raise exceptions.PeerError(
-                f"another host answered with status {status}"
+                f"another host answered with status {answer.status}"
             )
-        return raw
+        return answer.body
--- a/src/cowslipshift/edge/registration.py
+++ b/src/cowslipshift/edge/registration.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import random
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -28,6 +29,10 @@
 as fast as the store allows."""
 
 
+MAX_REGISTRATION_DELAY_S = 1.0
+"""Time over which the hosts spread that register again."""
+
+
 class HostRegistration:
     """Keeps a host's entry in the store and renews its lease.
 
@@ -88,6 +93,18 @@
         self._needs_write = True
         self._has_lost_entry.set()
 
+    def register_again(self) -> None:
+        """Register anew, as the store may have lost the lease and the entry.
+
+        The moment is drawn, so that not all hosts write at the same time.
+        """
+        self._lease = 0
+        self._needs_write = True
+        asyncio.get_running_loop().call_later(
+            random.random() * MAX_REGISTRATION_DELAY_S,
+            self._has_lost_entry.set,
+        )
+
     async def deregister(self) -> None:
         """End the lease, if there is one."""
         if not self._lease:
--- a/src/cowslipshift/edge/replica.py
+++ b/src/cowslipshift/edge/replica.py
@@ -25,33 +25,73 @@
     the store executed late is replaced by what it should not have replaced, so
     that hosts to which the last change is passed on believe the same.
 
+    A store that comes back from a copy begins another era, in which all items
+    may be older than those that are known. What others wrote will be written
+    again, so what is missing or differs there is held back for a while: the
+    replica has the item of the store, and its listener goes on with the known
+    one.
+
     Args:
         on_change: Called with each item that changes a value, in order;
             returns whether a newer write of the key was applied before.
+        may_be_restored: Tells whether a difference that another era makes is
+            to be held back, given the known and the stored item.
 
     Attributes:
-        revision: Store revision up to which the replica is complete; 0 at
-            first.
+        position: Position of the store up to which the replica is complete;
+            revision 0 at first.
     """
 
     def __init__(
         self,
         on_change: Callable[[interface.Item], bool] = lambda item: False,
+        may_be_restored: Callable[
+            [interface.Item, interface.Item], bool
+        ] = lambda known, stored: True,
     ) -> None:
-        self.revision = 0
+        self.position = interface.Position()
         self._on_change = on_change
+        self._may_be_restored = may_be_restored
+        self._held: dict[str, interface.Item] = {}
         self._items: dict[str, interface.Item] = {}
         self._change_log: dict[str, interface.Item] = {}
         self._log_start_revision = 0
 
+    @property
+    def revision(self) -> int:
+        """Store revision up to which the replica is complete."""
+        return self.position.revision
+
+    @property
+    def era(self) -> int:
+        """Era of the store that the replica follows."""
+        return self.position.era
+
+    @property
+    def held_keys(self) -> list[str]:
+        """Keys of which a difference of this era is held back."""
+        return sorted(self._held)
+
     def apply_changes(
-        self, items: Iterable[interface.Item], revision: int
+        self,
+        items: Iterable[interface.Item],
+        revision: int,
+        era: int | None = None,
     ) -> list[interface.Item]:
         """Apply changes in order; return those that changed a value.
 
         Changes up to the replica's own revision are skipped: it has them, or
         what replaced them.
+
+        Args:
+            items: The changes.
+            revision: Revision up to which they are complete.
+            era: Era of the revisions, the replica's own one by default.
+                Changes of another era are skipped, as they begin at a revision
+                that this replica has never had.
         """
+        if era is not None and era != self.era:
+            return []
         new = [item for item in items if item.revision > self.revision]
         changed = []
         for item in new:
@@ -60,18 +100,34 @@
             # Also logged if the replica has it already, from a page that was
             # read later than the first one: other hosts may not.
             self._log_change(self._replace_late(item))
-        self.revision = max(self.revision, revision)
+        self.position = interface.Position(
+            self.era, max(self.revision, revision)
+        )
         return changed
 
     def apply_snapshot(
-        self, items: Iterable[interface.Item], revision: int
+        self,
+        items: Iterable[interface.Item],
+        revision: int,
+        era: int | None = None,
     ) -> list[interface.Item]:
         """Replace all items; return the changes, deletions included.
 
         The change log restarts at the revision of the snapshot.
+
+        Args:
+            items: All items of the store.
+            revision: Revision up to which they are complete.
+            era: Era of the revisions, the replica's own one by default.
         """
-        if revision < self.revision:
+        position = interface.Position(
+            self.era if era is None else era, revision
+        )
+        if position < self.position:
             return []
+        if position.era > self.era and self.revision:
+            return self._begin_era(items, position)
+        self.position = interface.Position(position.era, self.revision)
         current = {item.key: item for item in items}
         deleted = [
             interface.Item(key, None, revision)
@@ -81,27 +137,82 @@
         changed = [
             item for item in (*deleted, *current.values()) if self._apply(item)
         ]
-        self.revision = revision
-        self._change_log.clear()
-        self._log_start_revision = revision
+        self.position = position
+        self._restart_log()
+        return changed
+
+    def release_held(self) -> list[interface.Item]:
+        """Apply what was held back and was not written again since.
+
+        Returns:
+            The changes, deletions included.
+        """
+        known_items, self._held = self._held, {}
+        changed = []
+        for key, known in known_items.items():
+            stored = self._items.get(key)
+            if stored is None:
+                stored = interface.Item(key, None, self.revision)
+            if stored.value != known.value and not self._on_change(stored):
+                changed.append(stored)
         return changed
 
-    def list_changes(self, after: int) -> messages.Changes:
+    def list_changes(
+        self, after: int, era: int | None = None
+    ) -> messages.Changes:
         """Return the last change of each key that changed after a revision.
 
         Returns a snapshot if the change log does not reach back that far.
+
+        Args:
+            after: The revision.
+            era: Its era, the replica's own one by default.
         """
-        if after and after >= self._log_start_revision:
+        is_own_era = era is None or era == self.era
+        if is_own_era and after and after >= self._log_start_revision:
             newest_first = itertools.takewhile(
                 lambda item: item.revision > after,
                 reversed(self._change_log.values()),
             )
             items = tuple(newest_first)[::-1]
-            return messages.Changes(self.revision, False, items)
+            return messages.Changes(self.revision, False, items, self.era)
         return messages.Changes(
-            self.revision, True, tuple(self._items.values())
+            self.revision, True, tuple(self._items.values()), self.era
         )
 
+    def _begin_era(
+        self, items: Iterable[interface.Item], position: interface.Position
+    ) -> list[interface.Item]:
+        """Follow a store that has come back from a copy."""
+        known_items = self._items | self._held
+        self._items = {item.key: item for item in items}
+        self._held = {}
+        self.position = position
+        self._restart_log()
+        changed = []
+        for key in known_items.keys() | self._items.keys():
+            known = known_items.get(key) or interface.Item(key, None, 0)
+            stored = self._items.get(key) or interface.Item(
+                key, None, position.revision
+            )
+            if _is_same(known, stored):
+                continue
+            if self._may_be_restored(known, stored):
+                self._held[key] = known
+            elif not self._on_change(stored):
+                changed.append(stored)
+            elif known.value is None:
+                self._items.pop(key, None)
+            else:
+                self._items[key] = interface.Item(
+                    key, known.value, stored.revision, stored.created
+                )
+        return changed
+
+    def _restart_log(self) -> None:
+        self._change_log.clear()
+        self._log_start_revision = self.revision
+
     def _log_change(self, item: interface.Item) -> None:
         # A key that changes again moves to the end, which keeps the log in
         # order of revision.
@@ -115,11 +226,16 @@
         known = self._items.get(item.key)
         if known is not None and known.revision >= item.revision:
             return False
-        known_value = known.value if known is not None else None
-        is_change = known_value != item.value
+        # The listener goes on with a value that is held.
+        known = self._held.pop(item.key, known)
+        if known is None:
+            known = interface.Item(item.key, None, 0)
+        is_change = not _is_same(known, item)
         if is_change and self._on_change(item):
             is_change = False
-            item = interface.Item(item.key, known_value, item.revision)
+            item = interface.Item(
+                item.key, known.value, item.revision, known.created
+            )
         if item.value is None:
             self._items.pop(item.key, None)
         else:
@@ -132,3 +248,14 @@
         if believed is None:
             return interface.Item(item.key, None, item.revision)
         return believed if believed.revision == item.revision else item
+
+
+def _is_same(known: interface.Item, item: interface.Item) -> bool:
+    """Tell whether two items are the same to those who use them.
+
+    One that was deleted and written again is another one.
+    """
+    if known.value != item.value:
+        return False
+    has_both = bool(known.created and item.created)
+    return not has_both or known.created == item.created
--- a/src/cowslipshift/edge/service.py
+++ b/src/cowslipshift/edge/service.py
@@ -31,6 +31,7 @@
 from cowslipshift.edge import metrics as metric
 from cowslipshift.edge import peerclient
 from cowslipshift.edge import registration
+from cowslipshift.edge import restoration
 from cowslipshift.edge import rolloutcontroller
 from cowslipshift.edge import upstream
 from cowslipshift.edge import usagemessages
@@ -199,10 +200,15 @@
         """Chooses backend servers for this host."""
         return self._balancer
 
+    @property
+    def position(self) -> interface.Position:
+        """Position of the store that this host's replica has reached."""
+        return self._watcher.replica.position
+
     @property
     def revision(self) -> int:
         """Store revision that this host's replica has reached."""
-        return self._watcher.replica.revision
+        return self.position.revision
 
     # Assembly
 
@@ -246,6 +252,7 @@
             self._session,
             self._metrics.count_store_call,
             budget,
+            self._record_store_era,
         )
         peers = peerclient.PeerClient(
             self._session, self._metrics.count_fetch, budget
@@ -274,6 +281,8 @@
             self.bounds.config_apply_ms
             / MS_PER_S
             * watchers.MAX_AGE_BOUND_FRACTION,
+            self._begin_store_era,
+            restoration.may_be_restored,
         )
         self._registration = registration.HostRegistration(
             self._clock, self._own, self._store, self._watcher
@@ -414,7 +423,7 @@
     async def _serve_metrics(self, request: web.Request) -> web.Response:
         now = self._clock.now()
         self._metrics.set_replica_state(
-            self.revision,
+            self._watcher.replica.position,
             self._balancer.version,
             self._watcher.measure_behind(now),
             self._watcher.measure_age(now),
@@ -445,7 +454,9 @@
                 self._usage.record_item(item)
             return False
         try:
-            change = translation.translate_item(item)
+            change = translation.translate_item(
+                item, self._watcher.replica.era
+            )
         except base_exceptions.CowslipshiftError as error:
             self._log.warn(
                 "entry_ignored",
@@ -475,6 +486,17 @@
     def _record_store_outage(self) -> None:
         self._balancer.inventory.record_store_outage(self._clock.now())
 
+    def _record_store_era(self, era: int) -> None:
+        self._watcher.record_era(era)
+
+    def _begin_store_era(self, era: int) -> None:
+        """Prepare for a store that has lost what was written last."""
+        self._metrics.count_store_era()
+        self._balancer.inventory.begin_era(self._clock.now())
+        self._registration.register_again()
+        if self._usage is not None:
+            self._usage.begin_era()
+
     def _receive_bundle(self, bundle: messages.Bundle) -> None:
         self._heartbeats.receive(bundle)
 
@@ -505,6 +527,7 @@
                 )
                 self._watcher.request_reread()
             self._inbound.tick(self._balancer.configuration)
+            self._watcher.release_held(now)
             self._balancer.refill_budgets(passed_s)
             self._adjust_region_shares(now)
             for service in self._balancer.count_lost_answers(now):
--- a/src/cowslipshift/edge/watcher.py
+++ b/src/cowslipshift/edge/watcher.py
@@ -52,6 +52,10 @@
 
 IDLE_POLL_INTERVAL_S = 0.1
 SOURCE_POLL_INTERVAL_S = 0.1
+RESTORATION_S = 2.2
+"""How long after the store has come back from a copy what others wrote may be
+written again; the platform states about two seconds."""
+
 STORE_RETRY_DELAY_S = 0.3
 ALL_KEYS = ""
 
@@ -60,9 +64,9 @@
     """Fetches changes in the store from other hosts."""
 
     async def fetch_changes(
-        self, address: str, after: int
+        self, address: str, after: interface.Position
     ) -> messages.Changes:
-        """Fetch what changed in the store after a revision.
+        """Fetch what changed in the store after a position.
 
         Raises:
             PeerError: The other host gave no valid answer in time.
@@ -83,6 +87,9 @@
         on_store_outage: Called each time a call to the store fails during an
             outage.
         on_revision: Called when changes were applied to the replica.
+        on_era: Called when the store has come back from a copy, before what
+            it holds then is applied.
+        may_be_restored: Tells what the replica holds back then.
         max_age_s: Time without proof of being current after which the host
             watches the store itself.
 
@@ -101,8 +108,12 @@
         on_store_outage: Callable[[], None],
         on_revision: Callable[[], None],
         max_age_s: float = DEFAULT_MAX_AGE_S,
+        on_era: Callable[[int], None] = lambda era: None,
+        may_be_restored: Callable[
+            [interface.Item, interface.Item], bool
+        ] = lambda known, stored: True,
     ) -> None:
-        self.replica = replicas.StoreReplica(on_change)
+        self.replica = replicas.StoreReplica(on_change, may_be_restored)
         self._clock = clock
         self._store = store
         self._membership = membership
@@ -110,12 +121,14 @@
         self._client = client
         self._on_store_outage = on_store_outage
         self._on_revision = on_revision
+        self._on_era = on_era
+        self._held_until_s: float | None = None
         self._max_age_s = max_age_s
         self._needs_snapshot = True
         self._needs_changes = False
         self._is_fetching = False
         self._peers_reaching_store: dict[str, bool] = {}
-        self._peer_revisions: dict[str, int] = {}
+        self._peer_positions: dict[str, interface.Position] = {}
         self._behind_since_s: float | None = None
         self._freshness = freshness.Freshness()
         self._contact = storecontact.StoreContact()
@@ -160,14 +173,36 @@
         self._needs_snapshot = True
         self._freshness.reset()
 
-    def record_proof(self, revision: int, as_of_s: float) -> None:
-        """Record that the store was at a revision, and no later one.
+    def record_era(self, era: int) -> None:
+        """Record that the store has stated an era.
+
+        A replica of an earlier one is out of date, whatever its revision.
+        """
+        if self.replica.revision and era > self.replica.era:
+            self.request_reread()
+
+    def release_held(self, now: float) -> None:
+        """Apply what was held back in this era, once its time has passed."""
+        if self._held_until_s is None or now < self._held_until_s:
+            return
+        self._held_until_s = None
+        released = self.replica.release_held()
+        self._log.info(
+            "held_released",
+            era=self.replica.era,
+            keys=",".join(item.key for item in released),
+        )
+
+    def record_proof(
+        self, position: interface.Position, as_of_s: float
+    ) -> None:
+        """Record that the store was at a position, and no later one.
 
         Args:
-            revision: The revision.
+            position: The position.
             as_of_s: Time at which it was proven.
         """
-        self._freshness.record_proof(revision, as_of_s, self.replica.revision)
+        self._freshness.record_proof(position, as_of_s, self.replica.position)
 
     def measure_age(self, now: float) -> float:
         """Return the seconds since the replica was last proven current."""
@@ -181,8 +216,8 @@
         self._peers_reaching_store[heartbeat.host] = (
             heartbeat.is_store_reachable
         )
-        self._peer_revisions[heartbeat.host] = heartbeat.revision
-        if heartbeat.revision > self.replica.revision:
+        self._peer_positions[heartbeat.host] = heartbeat.position
+        if heartbeat.position > self.replica.position:
             self._start_catching_up()
 
     def _start_catching_up(self) -> None:
@@ -209,11 +244,11 @@
             self._is_fetching = False
 
     def _list_ahead(self) -> list[model.Member]:
-        """Return the hosts that have reported a newer revision."""
+        """Return the hosts that have reported a later position."""
         found = (
             self._membership.find_member(name)
-            for name, revision in self._peer_revisions.items()
-            if revision > self.replica.revision
+            for name, position in self._peer_positions.items()
+            if position > self.replica.position
         )
         return [member for member in found if member is not None]
 
@@ -286,10 +321,8 @@
                 newest=max((i.revision for i in snapshot.items), default=0),
                 took_ms=(self._clock.now() - started_s) * 1000,
             )
-            self._notify(
-                self.replica.apply_snapshot(snapshot.items, snapshot.revision)
-            )
-            self.record_proof(snapshot.revision, started_s)
+            self._apply_snapshot(snapshot.items, snapshot.position)
+            self.record_proof(snapshot.position, started_s)
             return
         self._needs_changes = False
         # A watch that waits may be cut; one that does not tells at once
@@ -303,13 +336,19 @@
             ALL_KEYS, self.replica.revision, wait_s
         )
         self.record_store_answer()
-        self._notify(self.replica.apply_changes(found.items, found.revision))
-        self.record_proof(found.revision, self._clock.now())
+        if found.era > self.replica.era:
+            # Its revisions are not those that the watch has asked for.
+            self.request_reread()
+            return
+        self._notify(
+            self.replica.apply_changes(found.items, found.revision, found.era)
+        )
+        self.record_proof(found.position, self._clock.now())
         if found.items:
             await asyncio.sleep(BATCH_PAUSE_S)
 
     async def _fetch_from(self, member: model.Member) -> None:
-        after, started_s = self.replica.revision, self._clock.now()
+        after, started_s = self.replica.position, self._clock.now()
         try:
             found = await self._client.fetch_changes(
                 member.internal_address, after
@@ -319,38 +358,65 @@
                 "peer_silent",
                 peer=member.name,
                 reason=error.message,
-                after=after,
+                after=after.revision,
                 took_ms=(self._clock.now() - started_s) * 1000,
             )
             # Until its next heartbeat this host is not asked again, however
             # near it is.
-            self._peer_revisions.pop(member.name, None)
+            self._peer_positions.pop(member.name, None)
             self._needs_changes = True
             return
         self._log.info(
             "changes_fetched",
             peer=member.name,
-            after=after,
+            after=after.revision,
             revision=found.revision,
             items=len(found.items),
             snapshot=found.is_snapshot,
             took_ms=(self._clock.now() - started_s) * 1000,
         )
-        if found.revision <= after:
-            self._peer_revisions.pop(member.name, None)
+        if found.position <= after:
+            self._peer_positions.pop(member.name, None)
         self._apply_fetched(found)
 
     def _apply_fetched(self, found: messages.Changes) -> None:
-        if found.revision <= self.replica.revision:
+        if found.position <= self.replica.position:
             return
         if found.is_snapshot:
-            changed = self.replica.apply_snapshot(found.items, found.revision)
+            self._apply_snapshot(found.items, found.position)
         else:
-            changed = self.replica.apply_changes(found.items, found.revision)
+            self._notify(
+                self.replica.apply_changes(
+                    found.items, found.revision, found.era
+                )
+            )
+
+    def _apply_snapshot(
+        self, items: tuple[interface.Item, ...], position: interface.Position
+    ) -> None:
+        known = self.replica.position
+        has_new_era = known.revision > 0 and position.era > known.era
+        if has_new_era:
+            self._on_era(position.era)
+            self._held_until_s = self._clock.now() + RESTORATION_S
+        changed = self.replica.apply_snapshot(
+            items, position.revision, position.era
+        )
+        if has_new_era:
+            self._log.warn(
+                "store_era_began",
+                era=position.era,
+                revision=position.revision,
+                former_era=known.era,
+                former_revision=known.revision,
+                changed=len(changed),
+                held=",".join(self.replica.held_keys),
+                held_s=RESTORATION_S,
+            )
         self._notify(changed)
 
     def _notify(self, changed: list[interface.Item]) -> None:
-        self._freshness.advance(self.replica.revision)
+        self._freshness.advance(self.replica.position)
         self._behind_since_s = (
             self._clock.now() if self._list_ahead() else None
         )
--- a/src/cowslipshift/platform/codec.py
+++ b/src/cowslipshift/platform/codec.py
@@ -227,19 +227,22 @@
     )
 
 
-def decode_rollout(raw: bytes, revision: int) -> model.RolloutOrder:
+def decode_rollout(
+    raw: bytes, number: int, era: int = 0
+) -> model.RolloutOrder:
     """Decode an order to roll out a new version.
 
     Args:
         raw: The entry.
-        revision: Store revision of the entry, which identifies the order.
+        number: Store revision that identifies the order.
+        era: Era of the store that the revision belongs to.
 
     Raises:
         MalformedEntryError: The entry is not a valid order.
     """
     order = _decode(raw, _Rollout, "roll-out order")
     return model.RolloutOrder(
-        order.service, order.target_version, order.ramp_s, revision
+        order.service, order.target_version, order.ramp_s, number, era
     )
 
 
--- a/src/cowslipshift/platform/names.py
+++ b/src/cowslipshift/platform/names.py
@@ -17,6 +17,7 @@
 API_KEY_HEADER = "Api-Key"
 DUTY_HOLDER_HEADER = "Cowslipshift-Duty-Holder"
 FENCING_TOKEN_HEADER = "Cowslipshift-Fencing-Token"
+STORE_ERA_HEADER = "Store-Era"
 
 RESOLVE_PATH = "/cowslipshift/resolve"
 READY_PATH = "/cowslipshift/ready"
--- a/src/cowslipshift/platform/store.py
+++ b/src/cowslipshift/platform/store.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from cowslipshift import transfers
+from cowslipshift.platform import eras
 from cowslipshift.platform import names
 from cowslipshift.store import exceptions
 from cowslipshift.store import interface
@@ -27,6 +28,8 @@
 
 WATCH_MARGIN_S = 1.0
 
+HISTORY_GONE = 410
+
 MAX_SNAPSHOT_BYTES = 32 * 1024 * 1024
 """All pages of a store with several times 10,000 entries."""
 
@@ -35,6 +38,7 @@
     key: str
     rev: int
     value: str | None = None
+    created: int = 0
     deleted: bool = False
 
 
@@ -65,6 +69,7 @@
         session: HTTP session to use; the caller closes it.
         on_call: Called with the kind and outcome of each call, for metrics.
         budget: Counts answers while they are read.
+        on_era: Called with each later era that the store states.
     """
 
     def __init__(
@@ -73,26 +78,36 @@
         session: aiohttp.ClientSession,
         on_call: Callable[[str, str], None],
         budget: bodies.ByteBudget,
+        on_era: Callable[[int], None] = lambda era: None,
     ) -> None:
         self._url = f"http://{address}"
         self._session = session
         self._on_call = on_call
         self._budget = budget
+        self._eras = eras.EraReader(on_era)
 
     async def read_prefix(self, prefix: str) -> interface.Snapshot:
         """Read all items whose keys begin with a prefix, page by page.
 
         Raises:
             StoreAnswerError: The pages do not go on, or do not end.
+            StoreUnavailableError: A later page is from another era.
         """
         items: list[interface.Item] = []
         read_bytes = 0
         revision = 0
+        first_era: int | None = None
         params = {"prefix": prefix}
         while True:
-            _, raw = await self._call("GET", names.RANGE_PATH, params)
-            page = _decode(raw, _Page)
-            read_bytes += len(raw)
+            answer, era = await self._call("GET", names.RANGE_PATH, params)
+            if first_era is None:
+                first_era = era
+            if era != first_era:
+                raise exceptions.StoreUnavailableError(
+                    "the store came back from a copy between two pages"
+                )
+            page = _decode(answer.body, _Page)
+            read_bytes += len(answer.body)
             if read_bytes > MAX_SNAPSHOT_BYTES:
                 raise exceptions.StoreAnswerError(
                     f"pages of the store exceed {MAX_SNAPSHOT_BYTES} bytes"
@@ -102,7 +117,7 @@
             # only up to the revision of the first page.
             revision = revision or page.store_revision
             if not page.has_more or not page.items:
-                return interface.Snapshot(tuple(items), revision)
+                return interface.Snapshot(tuple(items), revision, era)
             last_key = page.items[-1].key
             if last_key <= params.get("after", ""):
                 raise exceptions.StoreAnswerError(
@@ -119,15 +134,15 @@
             "after": str(after),
             "wait_ms": str(int(wait_s * 1000)),
         }
-        _, raw = await self._call(
+        answer, era = await self._call(
             "GET",
             names.WATCH_PATH,
             params,
             first_byte_s=wait_s + WATCH_MARGIN_S,
         )
-        found = _decode(raw, _Events)
+        found = _decode(answer.body, _Events)
         events = tuple(_convert(event) for event in found.events)
-        return interface.Snapshot(events, found.store_revision)
+        return interface.Snapshot(events, found.store_revision, era)
 
     async def swap_items(
         self,
@@ -136,10 +151,10 @@
         lease: int = 0,
     ) -> bool:
         """Write keys by compare-and-swap, all or none."""
-        status, _ = await self._transact(
+        answer = await self._transact(
             expected, {key: (value, lease) for key, value in writes.items()}
         )
-        return status == 200
+        return answer.status == 200
 
     async def write_leased_items(
         self,
@@ -156,17 +171,17 @@
         Returns:
             Store revision of the writes; ``None`` if they were not executed.
         """
-        status, raw = await self._transact(expected, writes)
-        if status != 200:
+        answer = await self._transact(expected, writes)
+        if answer.status != 200:
             return None
-        revision: int = _decode(raw, _Written).rev
+        revision: int = _decode(answer.body, _Written).rev
         return revision
 
     async def _transact(
         self,
         expected: Mapping[str, int],
         writes: Mapping[str, tuple[bytes, int]],
-    ) -> tuple[int, bytes]:
+    ) -> transfers.Answer:
         body = {
             "expected": [{"key": k, "rev": r} for k, r in expected.items()],
             "writes": [
@@ -179,24 +194,31 @@
             ],
             "deletes": [],
         }
-        return await self._call(
+        known_era = self._eras.era
+        answer, era = await self._call(
             "POST", names.TXN_PATH, body=body, allowed=(200, 404, 412)
         )
+        if expected and known_era not in (0, era):
+            # The revisions that it expects are those of another era.
+            raise exceptions.StoreUnavailableError(
+                "the store came back from a copy during a transaction"
+            )
+        return answer
 
     async def grant_lease(self, ttl_s: float) -> int:
         """Create a lease and return its id."""
-        _, raw = await self._call(
+        answer, _ = await self._call(
             "POST", names.LEASE_GRANT_PATH, body={"ttl_ms": int(ttl_s * 1000)}
         )
-        lease: int = _decode(raw, _Lease).lease
+        lease: int = _decode(answer.body, _Lease).lease
         return lease
 
     async def renew_lease(self, lease: int) -> bool:
         """Renew a lease; return whether it still exists."""
-        status, _ = await self._call(
+        answer, _ = await self._call(
             "POST", f"{names.LEASE_RENEW_PATH}/{lease}", allowed=(200, 404)
         )
-        return status == 200
+        return answer.status == 200
 
     async def revoke_lease(self, lease: int) -> None:
         """Revoke a lease, which deletes its keys."""
@@ -214,10 +236,11 @@
         body: object = None,
         first_byte_s: float = CALL_TIMEOUT_S,
         allowed: tuple[int, ...] = (200,),
-    ) -> tuple[int, bytes]:
+    ) -> tuple[transfers.Answer, int]:
+        """Make a call; return the answer and the era of the store."""
         kind = path.split("/")[2]
         try:
-            status, raw = await transfers.fetch_body(
+            answer = await transfers.fetch_body(
                 self._session,
                 method,
                 self._url + path,
@@ -232,16 +255,18 @@
             raise exceptions.StoreUnavailableError(
                 f"store did not answer {kind}: {error!r}"
             ) from error
+        status = answer.status
         self._on_call(kind, str(status))
-        if status == 410:
-            raise exceptions.HistoryGoneError(
-                "store no longer has the history that a watch requested"
-            )
-        if status not in allowed:
+        if status not in (*allowed, HISTORY_GONE):
             raise exceptions.StoreUnavailableError(
                 f"store answered {kind} with status {status}"
             )
-        return status, raw
+        era = self._eras.read(answer.headers)
+        if status == HISTORY_GONE:
+            raise exceptions.HistoryGoneError(
+                "store no longer has the history that a watch requested"
+            )
+        return answer, era
 
 
 def _decode(raw: bytes, kind: type[Any]) -> Any:
@@ -255,11 +280,11 @@
 
 def _convert(item: _WireItem) -> interface.Item:
     if item.deleted or item.value is None:
-        return interface.Item(item.key, None, item.rev)
+        return interface.Item(item.key, None, item.rev, item.created)
     try:
         value = base64.b64decode(item.value, validate=True)
     except (binascii.Error, ValueError):
         # Not base64, so written by another writer: the text is passed on
         # as it is, so that the codec rejects it and names the key.
         value = item.value.encode()
-    return interface.Item(item.key, value, item.rev)
+    return interface.Item(item.key, value, item.rev, item.created)
--- a/src/cowslipshift/platform/translation.py
+++ b/src/cowslipshift/platform/translation.py
@@ -17,9 +17,15 @@
     from cowslipshift.store import interface
 
 
-def translate_item(item: interface.Item) -> changes.Change | None:
+def translate_item(
+    item: interface.Item, era: int = 0
+) -> changes.Change | None:
     """Return the change that an item represents; ``None`` for other keys.
 
+    Args:
+        item: The item.
+        era: Era of the store that its revisions belong to.
+
     Raises:
         MalformedEntryError: The value does not have the format that its key
             implies.
@@ -43,7 +49,8 @@
         service = key.removeprefix(names.ROLLOUT_PREFIX)
         if value is None:
             return changes.OrderChange(service, None)
-        order = codec.decode_rollout(value, item.revision)
+        number = item.created or item.revision
+        order = codec.decode_rollout(value, number, era)
         return changes.OrderChange(service, order)
     if key.startswith(names.EVACUATION_PREFIX):
         centre = key.removeprefix(names.EVACUATION_PREFIX)
@@ -52,7 +59,7 @@
         service = key.removeprefix(names.STAGE_PREFIX)
         stage = rollouts.decode_stage(value) if value else None
         revision = item.revision if value else 0
-        return changes.StageChange(service, stage, revision)
+        return changes.StageChange(service, stage, revision, era)
     if key.startswith(names.MEMBER_PREFIX):
         name = key.removeprefix(names.MEMBER_PREFIX)
         return changes.MemberChange(name, _decode_member(value))
--- a/src/cowslipshift/standins/platformstore.py
+++ b/src/cowslipshift/standins/platformstore.py
@@ -56,9 +56,10 @@
 
     Args:
         clock: Clock that leases expire by.
+        era: Era that its answers state; 0 to state none.
     """
 
-    def __init__(self, clock: clocks.Clock) -> None:
+    def __init__(self, clock: clocks.Clock, era: int = 1) -> None:
         self.faults = Faults()
         self.calls: collections.Counter[str] = collections.Counter()
         self.revision = 1
@@ -69,6 +70,8 @@
         self._leases: dict[int, tuple[float, float]] = {}
         self._changed = asyncio.Event()
         self._watches: dict[int, web.Request] = {}
+        self.era = era
+        self._copy = self._copy_state()
 
     def put(self, key: str, value: bytes, lease: int = 0) -> int:
         """Write an item, without the access checks of transactions.
@@ -107,6 +110,12 @@
         item = self._items.get(key)
         return None if item is None else base64.b64decode(item["value"])
 
+    def get_lease(self, key: str) -> int:
+        """Return the lease of an item; 0 for none."""
+        item = self._items.get(key)
+        lease: int = 0 if item is None else item["lease"]
+        return lease
+
     def list_page(
         self, prefix: str, after: str
     ) -> tuple[list[dict[str, Any]], bool]:
@@ -136,7 +145,7 @@
         loop = asyncio.get_running_loop()
         deadline_s = loop.time() + wait_s
         while True:
-            if after < self._compacted_revision:
+            if not self._compacted_revision <= after <= self.revision:
                 return None
             events = [
                 event
@@ -178,6 +187,37 @@
             if request.transport is not None:
                 request.transport.close()
 
+    def copy_state(self) -> None:
+        """Keep a copy of what the store holds now."""
+        self._copy = self._copy_state()
+
+    def come_back(self) -> None:
+        """Go back to the copy, which begins another era.
+
+        Revisions that were given out since are given out again.
+        """
+        self.revision, self._items, self._history, self._leases = self._copy
+        self._copy = self._copy_state()
+        self._compacted_revision = min(self._compacted_revision, self.revision)
+        self.era += 1
+        self.cut_watches()
+
+    def _copy_state(
+        self,
+    ) -> tuple[
+        int,
+        dict[str, dict[str, Any]],
+        list[dict[str, Any]],
+        dict[int, tuple[float, float]],
+    ]:
+        # Items and events are replaced, never changed.
+        return (
+            self.revision,
+            dict(self._items),
+            list(self._history),
+            dict(self._leases),
+        )
+
     def build_application(self) -> web.Application:
         """Return the HTTP application."""
         application = web.Application()
@@ -230,6 +270,8 @@
             if faults.rubbish:
                 return web.Response(body=b"<html>")
             response = await handler(request)
+            if self.era:
+                response.headers[names.STORE_ERA_HEADER] = str(self.era)
             if faults.lose_writes and request.method == "POST":
                 faults.lose_writes -= 1
                 if request.transport is not None:
--- a/src/cowslipshift/steering/balancer.py
+++ b/src/cowslipshift/steering/balancer.py
@@ -155,7 +155,7 @@
             self._get_rollout(change.service).set_order(change.order, now)
         elif isinstance(change, changes.StageChange):
             self._get_rollout(change.service).set_stage(
-                change.stage, change.revision, now
+                change.stage, change.revision, now, change.era
             )
         elif isinstance(change, changes.EvacuationChange):
             return self.inventory.apply_evacuation(change, now)
--- a/src/cowslipshift/steering/changes.py
+++ b/src/cowslipshift/steering/changes.py
@@ -32,11 +32,17 @@
 
 
 class StageChange(msgspec.Struct, frozen=True):
-    """A roll-out reached another stage."""
+    """A roll-out reached another stage.
+
+    Attributes:
+        revision: Store revision of the stage; 0 if there is none.
+        era: Era of the store that the revision belongs to.
+    """
 
     service: str
     stage: rollouts.Stage | None
     revision: int
+    era: int = 0
 
 
 class EvacuationChange(msgspec.Struct, frozen=True):
--- a/src/cowslipshift/steering/freshness.py
+++ b/src/cowslipshift/steering/freshness.py
@@ -4,44 +4,51 @@
 
 import math
 
+from cowslipshift.store import interface
+
 
 class Freshness:
     """The latest time at which a replica was proven to be current.
 
-    A proof says that at some time the store had reached a certain revision
+    A proof says that at some time the store had reached a certain position
     and no later one. The store's own answers are proofs, and hosts pass them
     on in their heartbeats. That nothing is heard proves nothing.
     """
 
-    __slots__ = ("_current_s", "_pending_revision", "_pending_s")
+    __slots__ = ("_current_s", "_pending_position", "_pending_s")
 
     def __init__(self) -> None:
         self._current_s = -math.inf
         self._pending_s = -math.inf
-        self._pending_revision = 0
+        self._pending_position = interface.Position()
 
     def record_proof(
-        self, revision: int, as_of_s: float, replica_revision: int
+        self,
+        position: interface.Position,
+        as_of_s: float,
+        replica_position: interface.Position,
     ) -> None:
-        """Record that the store was at a revision at some time.
+        """Record that the store was at a position at some time.
 
-        A proof for a revision that the replica has not reached is kept until
-        it has.
+        A proof for a position that the replica has not reached is kept until
+        it has. One of an era that the replica has left proves nothing.
 
         Args:
-            revision: Revision that the store had reached.
+            position: Position that the store had reached.
             as_of_s: Time at which it had.
-            replica_revision: Revision of the own replica.
+            replica_position: Position of the own replica.
         """
-        if replica_revision >= revision:
+        if position.era < replica_position.era:
+            return
+        if replica_position >= position:
             self._current_s = max(self._current_s, as_of_s)
         elif as_of_s > self._pending_s:
             self._pending_s = as_of_s
-            self._pending_revision = revision
+            self._pending_position = position
 
-    def advance(self, replica_revision: int) -> None:
+    def advance(self, replica_position: interface.Position) -> None:
         """Apply the proof that is kept once the replica has reached it."""
-        if replica_revision >= self._pending_revision:
+        if replica_position >= self._pending_position:
             self._current_s = max(self._current_s, self._pending_s)
 
     def reset(self) -> None:
--- a/src/cowslipshift/steering/inventory.py
+++ b/src/cowslipshift/steering/inventory.py
@@ -46,6 +46,7 @@
         self._removed: collections.OrderedDict[
             str, tuple[model.Backend, float]
         ] = collections.OrderedDict()
+        self._removed_before_era: set[str] = set()
         self._store_recovery_until_s = -1e9
 
     @property
@@ -65,6 +66,16 @@
         """Record that the store is unreachable, so entries may expire."""
         self._store_recovery_until_s = now + STORE_RECOVERY_S
 
+    def begin_era(self, now: float) -> None:
+        """Record that the store has come back from a copy.
+
+        Entries that it lost may be registered again. One that was removed
+        after the copy was taken is back there, which tells nothing of its
+        server.
+        """
+        self.record_store_outage(now)
+        self._removed_before_era = set(self._removed)
+
     def drop_expired(self, now: float) -> list[str]:
         """Drop servers whose entries expired and were not registered again.
 
@@ -90,6 +101,8 @@
         last, removed_s = self._removed.get(entry.id, (None, 0.0))
         if last is None or now - removed_s > LATE_WRITE_S:
             return False
+        if entry.id in self._removed_before_era and last.started_ms:
+            return not last.is_older_than(entry)
         return entry.is_older_than(last)
 
     def apply_entry(self, entry: model.Backend, now: float) -> bool:
@@ -101,6 +114,7 @@
             return False
         self._expired.discard(entry.id)
         self._removed.pop(entry.id, None)
+        self._removed_before_era.discard(entry.id)
         known = self._by_id.get(entry.id)
         cold_until_s = now + entry.cold_s
         if known is None or known.entry.started_ms != entry.started_ms:
--- a/src/cowslipshift/steering/model.py
+++ b/src/cowslipshift/steering/model.py
@@ -154,14 +154,27 @@
     """An order to roll out a new version of a service.
 
     Attributes:
-        order: Store revision of the order.
+        order: Number of the order: the store revision at which its entry was
+            created.
         ramp_s: Time from the order within which the roll-out must be done.
+        era: Era of the store that the number belongs to.
     """
 
     service: str
     version: str
     ramp_s: float
     order: int
+    era: int = 0
+
+    def is_same_as(self, known: RolloutOrder) -> bool:
+        """Tell whether this is another order, known before, written again.
+
+        An operator may write an order twice, and writes it again once the
+        store has lost it, when its entry gets another number.
+        """
+        if self.version != known.version:
+            return False
+        return self.order == known.order or self.era > known.era
 
 
 class Member(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/cowslipshift/steering/rollouts.py
+++ b/src/cowslipshift/steering/rollouts.py
@@ -77,13 +77,14 @@
     """Progress of a roll-out; kept in the store.
 
     Attributes:
-        order: Store revision of the order that it belongs to.
+        order: Number of the order that it belongs to.
         version: The new version.
         step: Index into `RAMP_STEPS`.
         state: Watching, completed or rolled back.
         started_ms: Unix time at which the order was first seen; for operators
             only.
         elapsed_ms: Time since the order when the stage was written.
+        era: Era of the store that the number of the order belongs to.
         rejected_versions: Versions that are not to be used.
         reason: Why this stage was written.
     """
@@ -98,6 +99,22 @@
     )
     reason: str = ""
     elapsed_ms: int = 0
+    era: int = 0
+
+    @property
+    def progress(self) -> tuple[bool, int, int]:
+        """How far it is: of two stages of an order, the later has more."""
+        return self.state != WATCHING, self.step, self.elapsed_ms
+
+    def belongs_to(self, order: model.RolloutOrder) -> bool:
+        """Tell whether it is a stage of an order.
+
+        The number of an order changes where it was written again in a later
+        era; the stage follows once it has been written again as well.
+        """
+        if self.version != order.version:
+            return False
+        return self.order == order.order or self.era < order.era
 
 
 class Counts(msgspec.Struct, frozen=True):
@@ -162,6 +179,8 @@
     __slots__ = (
         "_due_since_s",
         "_credit",
+        "_era",
+        "_is_lost",
         "_lost_answers",
         "_peers",
         "_started_s",
@@ -178,6 +197,8 @@
         self.order: model.RolloutOrder | None = None
         self.stage: Stage | None = None
         self.stage_revision = 0
+        self._era = 0
+        self._is_lost = False
         self.counts = Counts()
         self.rejects_new_version = False
         self._peers: dict[str, Counts] = {}
@@ -189,7 +210,7 @@
     def set_order(self, order: model.RolloutOrder | None, now: float) -> None:
         """Apply the operators' order, or its removal."""
         if order is not None and (
-            self.order is None or self.order.order != order.order
+            self.order is None or not order.is_same_as(self.order)
         ):
             self.counts = Counts()
             self.rejects_new_version = False
@@ -197,18 +218,80 @@
             self._lost_answers.clear()
             self._credit = 0.0
             self._started_s = self._due_since_s = now
+        elif order is not None:
+            self._renumber_stage(order)
         self.order = order
         self._apply_elapsed_time(now)
 
+    def _renumber_stage(self, order: model.RolloutOrder) -> None:
+        """Let the stage follow its order, which was written again.
+
+        Args:
+            order: The order, with another number.
+        """
+        stage = self.get_current_stage()
+        if stage is None or stage.belongs_to(order):
+            return
+        self.stage = msgspec.structs.replace(
+            stage, order=order.order, era=order.era
+        )
+        self._is_lost = True
+
     def set_stage(
-        self, stage: Stage | None, revision: int, now: float
+        self, stage: Stage | None, revision: int, now: float, era: int = 0
     ) -> None:
-        """Apply the stage in the store."""
-        self.stage = stage
+        """Apply the stage in the store.
+
+        A store that has come back from a copy may have an earlier one, or
+        none. The one that is known stays in force and is written again.
+
+        Args:
+            stage: The stage; ``None`` if there is none.
+            revision: Its store revision; 0 if there is none.
+            now: Present time.
+            era: Era of the store.
+        """
+        known = self.stage
+        self._is_lost = known is not None and self._is_behind(
+            stage, known, era
+        )
+        if known is not None and self._is_lost:
+            rejected = stage.rejected_versions if stage is not None else ()
+            self.stage = msgspec.structs.replace(
+                known,
+                rejected_versions=tuple(
+                    dict.fromkeys((*known.rejected_versions, *rejected))
+                ),
+            )
+        else:
+            self.stage = stage
+        self._era = era
         self.stage_revision = revision
         self._due_since_s = now
         self._apply_elapsed_time(now)
 
+    def _is_behind(self, stage: Stage | None, known: Stage, era: int) -> bool:
+        """Tell whether the store has lost a stage that is known.
+
+        Args:
+            stage: The stage in the store, if there is one.
+            known: The known stage.
+            era: Era of the store.
+        """
+        if stage is None:
+            return era > 0
+        is_same_version = stage.version == known.version
+        if era == self._era and stage.era == known.era:
+            is_same = is_same_version and stage.order == known.order
+            return is_same and stage.progress[:2] < known.progress[:2]
+        if is_same_version:
+            return stage.progress < known.progress
+        return (
+            self.order is not None
+            and known.belongs_to(self.order)
+            and not stage.belongs_to(self.order)
+        )
+
     def measure_elapsed(self, now: float) -> float:
         """Return the seconds since the order, as far as is known."""
         return now - self._started_s
@@ -226,7 +309,7 @@
         """Return the stage of the order in force."""
         if self.order is None or self.stage is None:
             return self.stage
-        return self.stage if self.stage.order == self.order.order else None
+        return self.stage if self.stage.belongs_to(self.order) else None
 
     def get_new_version_share(self) -> float:
         """Return the share of requests that the new version gets."""
@@ -316,19 +399,23 @@
         rejects_new_version: bool,
         elapsed_s: float,
         now: float,
+        version: str = "",
     ) -> None:
         """Record another process's counts of an order.
 
         Args:
             process: The process.
-            order: Store revision of the order.
+            order: Number of the order.
             counts: What it has counted.
             rejects_new_version: Whether it has stopped using the new version.
             elapsed_s: Time since the order that it knows of.
             now: Time at which it sent this.
+            version: The new version that it knows of, if it tells.
         """
         if self.order is None or self.order.order != order:
             return
+        if version and version != self.order.version:
+            return
         self._peers[process] = counts
         self._record_elapsed(elapsed_s, now)
         self.rejects_new_version = (
@@ -353,12 +440,7 @@
             name: This host.
             hosts: All live hosts.
         """
-        if self.order is None:
-            return None
-        stage = self.get_current_stage()
-        if stage is not None and stage.state != WATCHING:
-            return None
-        proposed = self._evaluate(stage, now, wall_s)
+        proposed = self._restore() or self._propose_next(now, wall_s)
         if proposed is None:
             self._due_since_s = now
             return None
@@ -369,6 +451,31 @@
             return None
         return proposed
 
+    def _restore(self) -> Stage | None:
+        """Return the known stage if the store has lost it, or its era."""
+        known = self.stage
+        if known is None:
+            return None
+        if known.era >= self._era and not self._is_lost:
+            return None
+        is_current = self.order is not None and known.belongs_to(self.order)
+        order = (
+            self.order.order
+            if is_current and self.order is not None
+            else known.order
+        )
+        return msgspec.structs.replace(
+            known, order=order, era=self._era, reason="restored"
+        )
+
+    def _propose_next(self, now: float, wall_s: float) -> Stage | None:
+        stage = self.get_current_stage()
+        if self.order is None:
+            return None
+        if stage is not None and stage.state != WATCHING:
+            return None
+        return self._evaluate(stage, now, wall_s)
+
     def defer(self, now: float) -> None:
         """Postpone the next evaluation because a stage was just written."""
         self._due_since_s = now + STORE_DELAY_S
@@ -442,4 +549,5 @@
             rejected_versions=rejected_versions,
             reason=reason,
             elapsed_ms=int(self.measure_elapsed(now) * MS_PER_S),
+            era=self._era,
         )
--- a/src/cowslipshift/store/client.py
+++ b/src/cowslipshift/store/client.py
@@ -247,7 +247,7 @@
         self._on_call(path)
         url = f"{self._endpoints[self._preferred]}/v3/{path}"
         try:
-            status, raw = await transfers.fetch_body(
+            answer = await transfers.fetch_body(
                 self._session,
                 "POST",
                 url,
@@ -260,11 +260,11 @@
             raise exceptions.StoreUnavailableError(
                 f"store did not answer {path}: {error!r}"
             ) from error
-        if status != 200:
+        if answer.status != 200:
             raise exceptions.StoreUnavailableError(
-                f"store answered {path} with status {status}"
+                f"store answered {path} with status {answer.status}"
             )
-        return _parse_object(raw)
+        return _parse_object(answer.body)
 
 
 def _encode(text: str) -> str:
--- a/src/cowslipshift/store/interface.py
+++ b/src/cowslipshift/store/interface.py
@@ -11,24 +11,52 @@
     from collections.abc import Mapping
 
 
+class Position(msgspec.Struct, frozen=True, order=True):
+    """A point in the history of a store that may lose a part of it.
+
+    Revisions of an earlier era may be given out again in a later one, so only
+    the two numbers together tell which of two points came first.
+
+    Attributes:
+        era: How often the store has come back from a copy; 0 if it does not
+            say.
+        revision: Revision of the store in that era.
+    """
+
+    era: int = 0
+    revision: int = 0
+
+
 class Item(msgspec.Struct, frozen=True):
     """The last change of a key.
 
     Attributes:
         value: Its value; ``None`` if the key was deleted.
         revision: Store revision of the change.
+        created: Store revision at which the key was created; 0 if unknown.
     """
 
     key: str
     value: bytes | None
     revision: int
+    created: int = 0
 
 
 class Snapshot(msgspec.Struct, frozen=True):
-    """Items with the store revision up to which they are complete."""
+    """Items with the store revision up to which they are complete.
+
+    Attributes:
+        era: Era of the revision, and of those of the items.
+    """
 
     items: tuple[Item, ...]
     revision: int
+    era: int = 0
+
+    @property
+    def position(self) -> Position:
+        """Position of the store up to which the items are complete."""
+        return Position(self.era, self.revision)
 
 
 class RevisionedStore(Protocol):
--- a/src/cowslipshift/transfers.py
+++ b/src/cowslipshift/transfers.py
@@ -13,16 +13,31 @@
 from typing import TYPE_CHECKING
 
 import aiohttp
+import msgspec
 
 from cowslipshift import bodies
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Mapping
 
 MIN_BYTES_PER_S = 32 * 1024
 """Least average rate of an answer; the narrowest links of hosts carry 20 times
 as much."""
 
+
+class Answer(msgspec.Struct, frozen=True):
+    """A complete answer.
+
+    Attributes:
+        headers: Its headers; names in any case.
+    """
+
+    status: int
+    headers: Mapping[str, str]
+    body: bytes
+
+
 _UNLIMITED = aiohttp.ClientTimeout(total=None)
 
 
@@ -44,7 +59,7 @@
     pause_s: float,
     budget: bodies.ByteBudget,
     **options: Any,
-) -> tuple[int, bytes]:
+) -> Answer:
     """Call a peer and read its whole answer, as long as it makes progress.
 
     Args:
@@ -57,9 +72,6 @@
         budget: Counts the body while it is being read.
         options: Options of aiohttp's requests.
 
-    Returns:
-        Status and body of the answer.
-
     Raises:
         TimeoutError: The answer made no progress.
         ClientError: The connection failed, or the answer is too large.
@@ -70,10 +82,10 @@
         async with session.request(
             method, url, timeout=_UNLIMITED, **options
         ) as response:
-            raw = await bodies.read_body(
+            body = await bodies.read_body(
                 response, bodies.MAX_CONTROL_BYTES, budget, extend
             )
-            return response.status, raw
+            return Answer(response.status, response.headers, body)
 
 
 def _build_extension(
--- a/tests/duties/test_tenure.py
+++ b/tests/duties/test_tenure.py
@@ -73,3 +73,23 @@
 ) -> None:
     held = build_holder(is_fenced, token)
     assert held.may_call(STARTED_S + 0.1) == may_call
+
+
+# Guards against ONE: a holder that acts on after the store has lost its entry,
+# and a token that is taken twice, as the store has lost its record.
+def test_era_ends_the_turn_and_no_token_is_taken_again() -> None:
+    held = build_holder(token=4)
+    held.begin_era(STARTED_S + 1.0)
+    assert not held.is_holder(STARTED_S + 1.0)
+    read_s = STARTED_S + 1.0
+    assert held.propose(read_s, 5, 0, None) == actions.ReadState()
+    older = model.Record(model.Holder("h2", 1, 2, 8), (), 5)
+    held.record_read(
+        model.DutyState(holder_seen=1, record=older, record_revision=1), read_s
+    )
+    take_s = read_s + tenure.START_DELAY_S
+    assert held.propose(take_s, 5, 0, None) == actions.GrantLease(3.0)
+    held.record_lease(9, take_s)
+    write = held.propose(take_s, 5, 0, None)
+    assert isinstance(write, actions.WriteRecord)
+    assert write.record.holder.token == 5
--- a/tests/edge/test_peer_client.py
+++ b/tests/edge/test_peer_client.py
@@ -20,6 +20,7 @@
 from cowslipshift.store import interface
 
 REVISION = 9
+BEHIND = interface.Position(0, 1)
 
 
 async def serve_changes(request: web.Request) -> web.Response:
@@ -42,9 +43,9 @@
         client = peerclient.PeerClient(
             session, lambda outcome, size: None, bodies.ByteBudget(1024)
         )
-        await client.fetch_changes(relay.address, 1)
+        await client.fetch_changes(relay.address, BEHIND)
         relay.silence()
-        found = await client.fetch_changes(relay.address, 1)
+        found = await client.fetch_changes(relay.address, BEHIND)
     assert found.revision == REVISION
     await relay.close()
     await runner.cleanup()
@@ -81,7 +82,7 @@
             bodies.ByteBudget(bodies.MAX_CONTROL_BYTES),
         )
         address = f"127.0.0.1:{port}"
-        found = await client.fetch_changes(address, 0)
+        found = await client.fetch_changes(address, interface.Position())
         async with session.get(f"http://{address}/changes") as response:
             sent_bytes = int(response.headers["Content-Length"])
     assert found.items == (item,)
@@ -96,6 +97,6 @@
     for revision in (REVISION, REVISION + 1):
         item = interface.Item("op/config", b"%d" % revision, revision)
         replica.apply_changes([item], revision)
-        raw, compressed = server._encode(1)
+        raw, compressed = server._encode(BEHIND)
         assert messages.decode_changes(raw).items == (item,)
         assert zlib.decompress(compressed) == raw
--- a/tests/edge/test_registration.py
+++ b/tests/edge/test_registration.py
@@ -28,9 +28,11 @@
     def __init__(self) -> None:
         self.write_results: list[bool | Exception] = []
         self.written: list[int] = []
+        self.renewed: list[int] = []
         self.leases = 0
 
     async def renew_lease(self, lease: int) -> bool:
+        self.renewed.append(lease)
         return True
 
     async def grant_lease(self, ttl_s: float) -> int:
@@ -80,6 +82,26 @@
     assert store.written == [store.leases]
 
 
+# Guards against a host that renews the lease of another one, as the store has
+# lost its own and given out the id again.
+async def test_lease_of_an_earlier_era_is_not_renewed(
+    store, monkeypatch
+) -> None:
+    monkeypatch.setattr(registration, "LEASE_RENEWAL_INTERVAL_S", 0.02)
+    monkeypatch.setattr(registration, "MAX_REGISTRATION_DELAY_S", 0.0)
+    host = registration.HostRegistration(
+        clocks.SystemClock(), OWN, store, StoreObserver()
+    )
+    task = asyncio.create_task(host.run())
+    await platformfleet.wait_until(lambda: 1 in store.renewed)
+    host.register_again()
+    store.renewed.clear()
+    await platformfleet.wait_until(lambda: 2 in store.renewed)
+    task.cancel()
+    assert store.written == [1, 2]
+    assert set(store.renewed) == {2}
+
+
 # Guards against a host that is taken for dead, and then forgotten, as a write
 # of its earlier start is executed after its own registration.
 async def test_entry_that_an_earlier_start_replaces_is_written_again() -> None:
--- a/tests/edge/test_watcher.py
+++ b/tests/edge/test_watcher.py
@@ -60,7 +60,7 @@
         self.answers.set()
 
     async def fetch_changes(
-        self, address: str, after: int
+        self, address: str, after: interface.Position
     ) -> messages.Changes:
         name = address.partition(":")[0]
         self.asked.append(name)
--- a/tests/edge/virtualfleet.py
+++ b/tests/edge/virtualfleet.py
@@ -172,7 +172,7 @@
         self._host = host
 
     async def fetch_changes(
-        self, address: str, after: int
+        self, address: str, after: interface.Position
     ) -> messages.Changes:
         fleet, source = self._fleet, self._fleet.hosts[address.split(":")[0]]
         latency_s = fleet.get_latency(self._host, source)
@@ -181,7 +181,7 @@
             await asyncio.sleep(peerclient.PEER_TIMEOUT_S)
             raise exceptions.PeerError("no path")
         await asyncio.sleep(latency_s + source.outbound.measure_wait(now))
-        found = source.watcher.replica.list_changes(after)
+        found = source.watcher.replica.list_changes(after.revision, after.era)
         size = 100 + sum(_measure(item) for item in found.items)
         sent_s = source.outbound.transfer(size, fleet.loop.time())
         arrival_s = self._host.inbound.transfer(size, sent_s) + latency_s
--- a/tests/fuzz/test_replica_machine.py
+++ b/tests/fuzz/test_replica_machine.py
@@ -23,12 +23,25 @@
 
 
 class Store:
-    """The history of a store, and reads at the latest revision."""
+    """The history of a store, and reads at the latest revision.
+
+    Attributes:
+        era: Rises when the store comes back from a copy.
+    """
 
     def __init__(self) -> None:
+        self.era = 1
         self.revision = 1
         self.events: list[interface.Item] = []
 
+    def come_back(self, lost: int) -> None:
+        """Lose the last revisions, which are given out again."""
+        self.era += 1
+        self.revision = max(1, self.revision - lost)
+        self.events = [
+            event for event in self.events if event.revision <= self.revision
+        ]
+
     def write(self, keys: list[str], is_deletion: bool) -> None:
         """Change several keys in one transaction."""
         known = self.list_items(self.revision)
@@ -36,7 +49,7 @@
         if not changed:
             return
         self.revision += 1
-        value = None if is_deletion else b"%d" % self.revision
+        value = None if is_deletion else b"%d.%d" % (self.era, self.revision)
         self.events += [
             interface.Item(key, value, self.revision) for key in changed
         ]
@@ -60,6 +73,7 @@
 class Read:
     """A read of all items, page by page, by one host."""
 
+    era: int
     revision: int
     items: list[interface.Item]
     last_key: str = ""
@@ -86,7 +100,12 @@
 
     @stateful.rule(host=hosts)
     def read_page(self, host: int) -> None:
-        read = self.reads.setdefault(host, Read(self.store.revision, []))
+        first = Read(self.store.era, self.store.revision, [])
+        read = self.reads.setdefault(host, first)
+        if read.era != self.store.era:
+            # The client gives up a read that spans two eras.
+            del self.reads[host]
+            return
         items = self.store.list_items(self.store.revision)
         rest = sorted(key for key in items if key > read.last_key)
         page = rest[:PAGE_ITEMS]
@@ -95,21 +114,24 @@
             read.last_key = page[-1]
             return
         del self.reads[host]
-        self.replicas[host].apply_snapshot(read.items, read.revision)
+        self.replicas[host].apply_snapshot(read.items, read.revision, read.era)
 
     @stateful.rule(host=hosts, is_late=st.booleans())
     def watch(self, host: int, is_late: bool) -> None:
         after = self.replicas[host].revision
-        if not after:
+        if not 0 < after <= self.store.revision:
+            # The store answers 410 to a revision that it does not have.
             return
         events = self.store.list_events(after)
-        found = messages.Changes(self.store.revision, False, events)
+        found = messages.Changes(
+            self.store.revision, False, events, self.store.era
+        )
         self.receive(host, found, is_late)
 
     @stateful.rule(host=hosts, source=hosts, is_late=st.booleans())
     def fetch(self, host: int, source: int, is_late: bool) -> None:
-        after = self.replicas[host].revision
-        found = self.replicas[source].list_changes(after)
+        after = self.replicas[host].position
+        found = self.replicas[source].list_changes(after.revision, after.era)
         self.receive(host, found, is_late)
 
     @stateful.precondition(lambda self: self.late)
@@ -125,10 +147,14 @@
         if is_late:
             self.late.append((host, found))
         elif found.is_snapshot:
-            if found.revision > replica.revision:
-                replica.apply_snapshot(found.items, found.revision)
+            if found.position > replica.position:
+                replica.apply_snapshot(found.items, found.revision, found.era)
         else:
-            replica.apply_changes(found.items, found.revision)
+            replica.apply_changes(found.items, found.revision, found.era)
+
+    @stateful.rule(lost=st.integers(1, 4))
+    def lose(self, lost: int) -> None:
+        self.store.come_back(lost)
 
     @stateful.rule(host=hosts)
     def restart(self, host: int) -> None:
@@ -140,7 +166,7 @@
     def check_items(self) -> None:
         """Each item is as it was at the replica's revision, or later."""
         for replica in self.replicas:
-            if not replica.revision:
+            if not replica.revision or replica.era != self.store.era:
                 continue
             items = {item.key: item for item in replica.list_changes(0).items}
             states = [
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -12,6 +12,7 @@
 from cowslipshift import bodies
 from cowslipshift import clock as clocks
 from cowslipshift import connections
+from cowslipshift.platform import eras
 from cowslipshift.platform import names
 from cowslipshift.platform import store as stores
 from cowslipshift.standins import platformstore
@@ -30,6 +31,7 @@
             clocks.SystemClock()
         )
         self.calls: list[tuple[str, str]] = []
+        self.eras: list[int] = []
 
     async def start(self) -> None:
         self.runner = web.AppRunner(
@@ -46,6 +48,7 @@
             self.session,
             lambda kind, outcome: self.calls.append((kind, outcome)),
             bodies.ByteBudget(bodies.MAX_CONTROL_BYTES),
+            self.eras.append,
         )
 
     async def close(self) -> None:
@@ -182,3 +185,59 @@
             await client.read_prefix("")
     assert pages <= 64
     await runner.cleanup()
+
+
+async def test_era_of_the_store_is_told_once_and_with_each_read(setup) -> None:
+    await setup.client.read_prefix("")
+    setup.stand_in.come_back()
+    found = await setup.client.read_prefix("")
+    assert (found.era, setup.eras) == (2, [1, 2])
+    found = await setup.client.watch_prefix("", found.revision, 0.0)
+    assert (found.era, setup.eras) == (2, [1, 2])
+
+
+async def test_watch_from_a_revision_that_was_lost_is_an_error(setup) -> None:
+    setup.stand_in.copy_state()
+    after = setup.stand_in.put("a", b"1")
+    setup.stand_in.come_back()
+    with pytest.raises(exceptions.HistoryGoneError):
+        await setup.client.watch_prefix("", after, 1.0)
+
+
+# Guards against an answer that was on its way when the store came back, and
+# replaces what is known of the later era.
+async def test_answer_of_an_earlier_era_is_not_used(setup) -> None:
+    setup.stand_in.come_back()
+    await setup.client.read_prefix("")
+    setup.stand_in.era = 1
+    with pytest.raises(exceptions.StoreAnswerError):
+        await setup.client.read_prefix("")
+    setup.stand_in.era = 2
+    assert (await setup.client.read_prefix("")).era == 2
+
+
+# Guards against a transaction that was prepared in one era and is executed in
+# the next one, as a revision was given out again.
+async def test_transaction_across_two_eras_is_not_believed(setup) -> None:
+    key = names.STAGE_PREFIX + "a"
+    setup.stand_in.copy_state()
+    await setup.client.swap_items({key: 0}, {key: b"1"})
+    revision = setup.stand_in.revision
+    setup.stand_in.come_back()
+    setup.stand_in.put(key, b"other")
+    assert setup.stand_in.revision == revision
+    with pytest.raises(exceptions.StoreUnavailableError):
+        await setup.client.swap_items({key: revision}, {key: b"2"})
+
+
+@pytest.mark.parametrize("text", ["", "x", "-1", "1" * 10, "\u00b2"])
+def test_header_without_a_number_keeps_the_last_era(text) -> None:
+    reader = eras.EraReader(lambda era: None)
+    assert reader.read({names.STORE_ERA_HEADER: "3"}) == 3
+    assert reader.read({names.STORE_ERA_HEADER: text}) == 3
+    assert reader.read({}) == 3
+    assert reader.read({names.STORE_ERA_HEADER: "4"}) == 4
+
+
+def test_store_without_the_header_has_no_era() -> None:
+    assert eras.EraReader(lambda era: None).read({}) == 0
--- a/tests/test_transfers.py
+++ b/tests/test_transfers.py
@@ -36,6 +36,7 @@
 
 STALLS_AFTER_BYTES = 100_000
 MAX_STALL_S = 4.0
+BEHIND = interface.Position(0, 1)
 
 ITEM = {
     "key": "op/config",
@@ -114,7 +115,7 @@
             return (await store.watch_prefix("", 1, 0.6)).items[0].value
         if peer == "host":
             client = peerclient.PeerClient(session, lambda *_: None, budget)
-            return (await client.fetch_changes(address, 1)).items[0].value
+            return (await client.fetch_changes(address, BEHIND)).items[0].value
         etcd = clients.StoreClient([f"http://{address}"], session)
         pair = await etcd.get_key("k")
         return pair.value if pair is not None else None
