State the store's era in the first stage of a roll-out

Seen, by a new test of orders written twice: stages were written again as "restored" without a loss, once each.

Cause: a host that has seen no stage took the era for 0, so that its first stage seemed to come from an earlier one.

--- a/src/cowslipshift/steering/rollouts.py
+++ b/src/cowslipshift/steering/rollouts.py
@@ -549,5 +549,5 @@
             rejected_versions=rejected_versions,
             reason=reason,
             elapsed_ms=int(self.measure_elapsed(now) * MS_PER_S),
-            era=self._era,
+            era=max(self._era, self.order.era),
         )
