--- a/src/cowslipshift/edge/main.py
+++ b/src/cowslipshift/edge/main.py
@@ -22,6 +22,9 @@
 
 def main() -> None:
     """Run a host until SIGTERM or SIGINT; exit with 2 on invalid settings."""
+    # The settings are read after this; until there is a handler, the signal
+    # would end the process.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     stop_signals = supervision.StopSignals()
     try:
         settings, bounds = platform_settings.read_settings(os.environ)
--- a/tests/edge/test_planned_stop.py
+++ b/tests/edge/test_planned_stop.py
@@ -5,6 +5,7 @@
 import asyncio
 import collections
 import contextlib
+import pathlib
 import signal
 from typing import TYPE_CHECKING
 
@@ -327,3 +328,35 @@
     await leaving_fleet.stop_host(leaving_fleet.hosts[0])
     status, body, _ = await asking
     assert (status, body) == (504, b'{"error":"outcome_unknown"}')
+
+
+PROGRAM = pathlib.Path(__file__).parents[2] / "deploy" / "steering.py"
+
+
+def survives_sighup(pid: int) -> bool:
+    """Tell whether a process ignores or handles SIGHUP."""
+    status = pathlib.Path(f"/proc/{pid}/status").read_text()
+    masks = dict(
+        line.split(":\t") for line in status.splitlines() if "\t" in line
+    )
+    bit = 1 << (signal.SIGHUP - 1)
+    return bool(bit & (int(masks["SigIgn"], 16) | int(masks["SigCgt"], 16)))
+
+
+# Guards against Fault: a signal that says that the settings have changed ends
+# a process that is starting.
+async def test_sighup_during_the_start_ends_no_process(
+    fleet, tmp_path
+) -> None:
+    started = daemons.Daemon(fleet)
+    started.program = (str(PROGRAM),)
+    await started.start(tmp_path, "starting", "north-a")
+    process = started.process
+    await platformfleet.wait_until(lambda: survives_sighup(process.pid))
+    assert b"event=started" not in started.log.read_bytes()
+    async with asyncio.timeout(15.0):
+        while b"event=started" not in started.log.read_bytes():
+            process.send_signal(signal.SIGHUP)
+            await asyncio.sleep(0.02)
+    await started.wait_ready()
+    assert await started.stop() == 0
