Send heartbeats also 49.7 days after an order

Change: a longer time is sent as the largest one. tests/edge/test_heartbeats.py old order failed before and passes.

--- a/src/cowslipshift/edge/messages.py
+++ b/src/cowslipshift/edge/messages.py
@@ -35,6 +35,9 @@
 MAX_COUNT = 2**16 - 1
 """Larger numbers of requests at a server are sent as this."""
 
+MAX_ELAPSED_MS = 2**32 - 1
+"""A longer time since an order, 49.7 days, is sent as this."""
+
 UNKNOWN_AGE_MS = 2**32 - 1
 """Stands for an age that is unknown or too large to be sent."""
 
@@ -171,7 +174,9 @@
                 "oldAnswers": r.counts.old,
                 "oldBad": r.counts.old_bad,
                 "condemns": r.rejects_new_version,
-                "elapsedMs": round(r.elapsed_s * MS_PER_S),
+                "elapsedMs": min(
+                    round(r.elapsed_s * MS_PER_S), MAX_ELAPSED_MS
+                ),
                 "version": r.version,
             }
             for r in heartbeat.reports
--- a/tests/edge/test_heartbeats.py
+++ b/tests/edge/test_heartbeats.py
@@ -17,6 +17,7 @@
 from cowslipshift.steering import changes
 from cowslipshift.steering import model
 from cowslipshift.steering import overlay as overlays
+from cowslipshift.steering import rollouts
 
 CENTRES = {"north-a": "north", "south-a": "south", "west-a": "west"}
 TICK_S = 0.1
@@ -306,3 +307,18 @@
                 )
         fleet.run(8.0)
         assert fleet.count_unheard() == 0
+
+
+# Guards against Fault: 49.7 days after an order no host can encode its
+# heartbeat any more, so that its ticks end.
+def test_time_since_an_old_order_does_not_end_heartbeats() -> None:
+    report = messages.RolloutReport(
+        "s", 7, rollouts.Counts(1), False, 60 * 86_400.0, "v2"
+    )
+    heartbeat = messages.Heartbeat(
+        "h1", 1, 1, 9, False, False, True, [], [report]
+    )
+    raw = messages.encode_heartbeat(heartbeat)
+    (found,) = messages.decode_heartbeat(raw).reports
+    assert found.elapsed_s * messages.MS_PER_S == messages.MAX_ELAPSED_MS
+    assert (found.order, found.version) == (7, "v2")
