Reset connections whose request was given up

Cause: a connection was closed in order when its request was cancelled, so that the kernel kept the bytes that were under way and sent them when the path was open again.

Change: closing a connection whose request has no whole answer resets it; on both interfaces, and for calls to the store and to other hosts.

--- a/src/cowslipshift/connections.py
+++ b/src/cowslipshift/connections.py
@@ -12,6 +12,8 @@
 import contextvars
 import functools
 import itertools
+import socket
+import struct
 from typing import Any
 from typing import TYPE_CHECKING
 
@@ -47,6 +49,9 @@
 """Requests after which a connection is closed, as it remembers their ids, and
 by how many fewer some take, so that not all of a pool end together."""
 
+_LINGER_NONE = struct.pack("ii", 1, 0)
+"""Lets a close reset the connection and drop what was not sent."""
+
 _numbers = itertools.count(1)
 
 
@@ -175,6 +180,29 @@
             or super().should_close
         )
 
+    def close(self) -> None:
+        """Close the connection; reset it if its request was given up.
+
+        What is still on its way would otherwise arrive whenever the path is
+        open again.
+        """
+        transport = self.transport
+        if transport is not None and self._is_given_up:
+            connection = transport.get_extra_info("socket")
+            if connection is not None and connection.fileno() >= 0:
+                connection.setsockopt(
+                    socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_NONE
+                )
+            self.abort()
+            return
+        super().close()
+
+    @property
+    def _is_given_up(self) -> bool:
+        return bool(
+            self._requests and not self._upgraded and not self._is_answered
+        )
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """Parse what had arrived before the end."""
         self.parse_rest()
--- a/tests/edge/test_upstream.py
+++ b/tests/edge/test_upstream.py
@@ -172,3 +172,38 @@
             )
     assert raised.value.is_late == (timeout_s < upstream.CONNECT_TIMEOUT_S)
     await client.close()
+
+
+# Guards against EVAC and against orders that run later than their refusal: a
+# request that was given up stays on its way while the path is cut.
+async def test_request_that_is_given_up_resets_its_connection() -> None:
+    ends: asyncio.Queue[bytes | OSError] = asyncio.Queue()
+
+    async def serve(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        try:
+            ends.put_nowait(await reader.read())
+        except OSError as error:
+            ends.put_nowait(error)
+        writer.close()
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    client = upstream.UpstreamClient()
+    with pytest.raises(exceptions.AnswerLostError):
+        await client.send(
+            f"127.0.0.1:{port}",
+            "GET",
+            "/",
+            [("Host", "x")],
+            None,
+            0.2,
+            lambda headers: True,
+            connections.Exchange("r"),
+        )
+    async with asyncio.timeout(5.0):
+        assert isinstance(await ends.get(), ConnectionResetError)
+    await client.close()
+    server.close()
