Announce a new era at once, and apply its differences in key order

The other hosts learnt of a new era with the next regular heartbeat, up to 0.7 s later, where all that differed was held back. The order in which the differences were applied followed a set, so that two hosts could differ.

tests/edge/test_store_eras.py passes as before.

--- a/src/cowslipshift/edge/replica.py
+++ b/src/cowslipshift/edge/replica.py
@@ -190,7 +190,7 @@
         self.position = position
         self._restart_log()
         changed = []
-        for key in known_items.keys() | self._items.keys():
+        for key in sorted(known_items.keys() | self._items.keys()):
             known = known_items.get(key) or interface.Item(key, None, 0)
             stored = self._items.get(key) or interface.Item(
                 key, None, position.revision
--- a/src/cowslipshift/edge/watcher.py
+++ b/src/cowslipshift/edge/watcher.py
@@ -413,6 +413,7 @@
                 held=",".join(self.replica.held_keys),
                 held_s=RESTORATION_S,
             )
+            self._on_revision()
         self._notify(changed)
 
     def _notify(self, changed: list[interface.Item]) -> None:
