Replace items of the replica in one place

Cause: the step into another era wrote again how an item that is outdated stays believed, the time for restoration stood as a second 2.2 s beside that of an outage, and the era was handed to a listener that does not use it.

Change: both paths use StoreReplica._replace, the time is that of the outage, and the listener has no argument. Behaviour is meant to stay as it is; an item kept in place of an outdated one now states the creation of the stored one on both paths.

Measured: 67 tests of eras, replica, watcher, registration, late entries, orders and heartbeats pass, lint and types too.

--- a/src/cowslipshift/edge/replica.py
+++ b/src/cowslipshift/edge/replica.py
@@ -199,14 +199,8 @@
                 continue
             if self._may_be_restored(known, stored):
                 self._held[key] = known
-            elif not self._on_change(stored):
+            elif self._replace(known, stored):
                 changed.append(stored)
-            elif known.value is None:
-                self._items.pop(key, None)
-            else:
-                self._items[key] = interface.Item(
-                    key, known.value, stored.revision, stored.created
-                )
         return changed
 
     def _restart_log(self) -> None:
@@ -230,11 +224,18 @@
         known = self._held.pop(item.key, known)
         if known is None:
             known = interface.Item(item.key, None, 0)
+        return self._replace(known, item)
+
+    def _replace(self, known: interface.Item, item: interface.Item) -> bool:
+        """Replace a known item; return whether that is a change.
+
+        A known one that the listener calls the later one stays.
+        """
         is_change = not _is_same(known, item)
         if is_change and self._on_change(item):
             is_change = False
             item = interface.Item(
-                item.key, known.value, item.revision, known.created
+                item.key, known.value, item.revision, item.created
             )
         if item.value is None:
             self._items.pop(item.key, None)
--- a/src/cowslipshift/edge/service.py
+++ b/src/cowslipshift/edge/service.py
@@ -489,7 +489,7 @@
     def _record_store_era(self, era: int) -> None:
         self._watcher.record_era(era)
 
-    def _begin_store_era(self, era: int) -> None:
+    def _begin_store_era(self) -> None:
         """Prepare for a store that has lost what was written last."""
         self._metrics.count_store_era()
         self._balancer.inventory.begin_era(self._clock.now())
--- a/src/cowslipshift/edge/watcher.py
+++ b/src/cowslipshift/edge/watcher.py
@@ -22,6 +22,7 @@
 from cowslipshift.edge import exceptions
 from cowslipshift.edge import replica as replicas
 from cowslipshift.steering import freshness
+from cowslipshift.steering import inventory
 from cowslipshift.steering import storecontact
 from cowslipshift.store import exceptions as store_exceptions
 from cowslipshift.store import interface
@@ -52,9 +53,9 @@
 
 IDLE_POLL_INTERVAL_S = 0.1
 SOURCE_POLL_INTERVAL_S = 0.1
-RESTORATION_S = 2.2
+RESTORATION_S = inventory.STORE_RECOVERY_S
 """How long after the store has come back from a copy what others wrote may be
-written again; the platform states about two seconds."""
+written again, as after an outage."""
 
 STORE_RETRY_DELAY_S = 0.3
 ALL_KEYS = ""
@@ -108,7 +109,7 @@
         on_store_outage: Callable[[], None],
         on_revision: Callable[[], None],
         max_age_s: float = DEFAULT_MAX_AGE_S,
-        on_era: Callable[[int], None] = lambda era: None,
+        on_era: Callable[[], None] = lambda: None,
         may_be_restored: Callable[
             [interface.Item, interface.Item], bool
         ] = lambda known, stored: True,
@@ -397,7 +398,7 @@
         known = self.replica.position
         has_new_era = known.revision > 0 and position.era > known.era
         if has_new_era:
-            self._on_era(position.era)
+            self._on_era()
             self._held_until_s = self._clock.now() + RESTORATION_S
         changed = self.replica.apply_snapshot(
             items, position.revision, position.era
