Leave nothing of an overruled stage behind

Cause: a host that knows a further stage of a roll-out than the store keeps it, but added the rejected versions of the stage that it overruled. A completed version that another host had wrongly rolled back stayed rejected on all hosts, and was written so again. A stage that is overruled leaves nothing behind now, and the version of a completed stage may be used.

--- a/src/cowslipshift/steering/rollouts.py
+++ b/src/cowslipshift/steering/rollouts.py
@@ -243,7 +243,8 @@
         """Apply the stage in the store.
 
         A store that has come back from a copy may have an earlier one, or
-        none. The one that is known stays in force and is written again.
+        none. The one that is known stays in force as it is, and is written
+        again.
 
         Args:
             stage: The stage; ``None`` if there is none.
@@ -255,15 +256,7 @@
         self._is_lost = known is not None and self._is_behind(
             stage, known, era
         )
-        if known is not None and self._is_lost:
-            rejected = stage.rejected_versions if stage is not None else ()
-            self.stage = msgspec.structs.replace(
-                known,
-                rejected_versions=tuple(
-                    dict.fromkeys((*known.rejected_versions, *rejected))
-                ),
-            )
-        else:
+        if not self._is_lost:
             self.stage = stage
         self._era = era
         self.stage_revision = revision
@@ -338,15 +331,13 @@
             uses_new_version: What `choose_new_version` returned for the
                 request.
         """
+        stage = self.get_current_stage()
+        if stage is not None and stage.state == COMPLETED:
+            return version == stage.version
         if self.stage is not None and version in self.stage.rejected_versions:
             return False
-        stage = self.get_current_stage()
         if self.order is None:
-            if stage is not None and stage.state == COMPLETED:
-                return version == stage.version
             return stage is None or version != stage.version
-        if stage is not None and stage.state == COMPLETED:
-            return version == self.order.version
         return (version == self.order.version) == uses_new_version
 
     def record_answer(self, version: str, is_bad: bool) -> bool:
