Let the earlier of two ends of a roll-out count

Two hosts that do not hear each other in time may each end the same order, one completed and one rolled back. Which one counted depended on what a host had heard of first and on their steps, so that hosts could go on with different ends, and an end could change after old servers had been stopped because of it. The earlier end counts now, in any order of hearing.

--- a/src/cowslipshift/steering/rollouts.py
+++ b/src/cowslipshift/steering/rollouts.py
@@ -103,8 +103,14 @@
 
     @property
     def progress(self) -> tuple[bool, int, int]:
-        """How far it is: of two stages of an order, the later has more."""
-        return self.state != WATCHING, self.step, self.elapsed_ms
+        """How far it is: of two stages of an order, the later has more.
+
+        An order has one end. Of two that hosts wrote, the earlier one counts,
+        as servers were stopped because of it.
+        """
+        if self.state == WATCHING:
+            return False, self.step, self.elapsed_ms
+        return True, -self.elapsed_ms, self.state == ROLLED_BACK
 
     def belongs_to(self, order: model.RolloutOrder) -> bool:
         """Tell whether it is a stage of an order.
--- a/tests/steering/test_lost_stages.py
+++ b/tests/steering/test_lost_stages.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import msgspec
+import pytest
 
 from cowslipshift.steering import model
 from cowslipshift.steering import rollouts
@@ -40,3 +41,18 @@
     assert rollout.may_use("v2", True)
     assert not rollout.may_use("v1", False)
     assert rollout.stage == COMPLETED
+
+
+# Guards against an end that changes after callers and servers have followed
+# it: the earlier one counts, whichever hosts hear of first.
+@pytest.mark.parametrize("earlier", [COMPLETED, ROLLED_BACK])
+@pytest.mark.parametrize("is_known_first", [True, False])
+def test_of_two_ends_the_earlier_one_counts(earlier, is_known_first) -> None:
+    later = ROLLED_BACK if earlier is COMPLETED else COMPLETED
+    earlier = msgspec.structs.replace(earlier, elapsed_ms=11_000)
+    later = msgspec.structs.replace(later, elapsed_ms=14_000, era=2)
+    rollout = rollouts.Rollout("sheets")
+    rollout.set_order(ORDER, 0.0)
+    for stage in (earlier, later) if is_known_first else (later, earlier):
+        rollout.set_stage(stage, 41, 14.0, 2)
+    assert rollout.stage == earlier
