Decide no stage from a store that has just come back

A completed roll-out was taken back (`completed`, `rolled_back`, `completed`) as the store came back from a copy and the host that led it was killed.

Cause: the host that started read a watched stage in the copy, wrote it again at once as one of the store's new era, heard from the others how long ago the order was given, and rolled back as its time was over, all within 0.5 s and before the others had written what they knew. Stages were compared across eras as if the later era told more.

Change: for 2.2 s after a new era, within which all is written again, a host only restores a further stage that the store has lost, as it is. A stage stands for the new era after that, and none is decided before. Two stages from before the store came back are compared by order and progress, whichever has been read first. An older stage of the store is reported as outdated, so that hosts that ask this one do not take it over.

--- a/src/cowslipshift/edge/service.py
+++ b/src/cowslipshift/edge/service.py
@@ -473,15 +473,15 @@
             and change.name == self._own.name
         ):
             self._registration.record_entry(change.member)
-        if self._balancer.is_outdated(change, now):
+        is_outdated = self._balancer.is_outdated(change, now)
+        if is_outdated:
             self._log.info(
                 "entry_outdated", key=item.key, revision=item.revision
             )
-            return True
-        if self._balancer.apply(change, now):
+        if self._balancer.apply(change, now) and not is_outdated:
             event, fields = logevents.describe_change(change)
             self._log.info(event, revision=item.revision, **fields)
-        return False
+        return is_outdated
 
     def _record_store_outage(self) -> None:
         self._balancer.inventory.record_store_outage(self._clock.now())
@@ -489,8 +489,16 @@
     def _record_store_era(self, era: int) -> None:
         self._watcher.record_era(era)
 
-    def _begin_store_era(self) -> None:
-        """Prepare for a store that has lost what was written last."""
+    def _begin_store_era(self, era: int, has_earlier: bool) -> None:
+        """Prepare for a store that may have lost what was written last.
+
+        Args:
+            era: Era of the store.
+            has_earlier: Whether this host has followed an earlier era.
+        """
+        self._balancer.begin_era(era, self._clock.now())
+        if not has_earlier:
+            return
         self._metrics.count_store_era()
         self._balancer.inventory.begin_era(self._clock.now())
         self._registration.register_again()
--- a/src/cowslipshift/edge/watcher.py
+++ b/src/cowslipshift/edge/watcher.py
@@ -88,8 +88,8 @@
         on_store_outage: Called each time a call to the store fails during an
             outage.
         on_revision: Called when changes were applied to the replica.
-        on_era: Called when the store has come back from a copy, before what
-            it holds then is applied.
+        on_era: Called before the first items of an era are applied, with the
+            era and whether the host has followed an earlier one.
         may_be_restored: Tells what the replica holds back then.
         max_age_s: Time without proof of being current after which the host
             watches the store itself.
@@ -109,7 +109,7 @@
         on_store_outage: Callable[[], None],
         on_revision: Callable[[], None],
         max_age_s: float = DEFAULT_MAX_AGE_S,
-        on_era: Callable[[], None] = lambda: None,
+        on_era: Callable[[int, bool], None] = lambda era, has_earlier: None,
         may_be_restored: Callable[
             [interface.Item, interface.Item], bool
         ] = lambda known, stored: True,
@@ -396,14 +396,14 @@
         self, items: tuple[interface.Item, ...], position: interface.Position
     ) -> None:
         known = self.replica.position
-        has_new_era = known.revision > 0 and position.era > known.era
+        has_new_era = position.era > known.era
         if has_new_era:
-            self._on_era()
+            self._on_era(position.era, known.revision > 0)
             self._held_until_s = self._clock.now() + RESTORATION_S
         changed = self.replica.apply_snapshot(
             items, position.revision, position.era
         )
-        if has_new_era:
+        if has_new_era and known.revision:
             self._log.warn(
                 "store_era_began",
                 era=position.era,
--- a/src/cowslipshift/standins/platformfleet.py
+++ b/src/cowslipshift/standins/platformfleet.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import itertools
 from typing import Any
 from typing import TYPE_CHECKING
 
@@ -138,6 +139,7 @@
         self._counts = (hosts, backends)
         self._runners: list[web.AppRunner] = []
         self._ports: list[int] = []
+        self._host_numbers = itertools.count(1)
         self._lease_task: asyncio.Task[None] | None = None
         self.session = aiohttp.ClientSession()
 
@@ -249,12 +251,19 @@
             state,
         )
 
-    async def add_host(self, data_centre: str) -> edge_service.EdgeService:
-        """Start a host that uses a port of the store of its own."""
+    async def add_host(
+        self, data_centre: str, name: str | None = None
+    ) -> edge_service.EdgeService:
+        """Start a host that uses a port of the store of its own.
+
+        Args:
+            data_centre: Where it runs.
+            name: Its name; one that no other host has had by default.
+        """
         store_address = await self.open_store_port()
         ports = self.reserve_ports(5, consecutive=2)
         settings = platform_settings.HostSettings(
-            node_name=f"host-{len(self.hosts) + 1}",
+            node_name=name or f"host-{next(self._host_numbers)}",
             ip="127.0.0.1",
             zone=data_centre,
             region=REGIONS_BY_DATA_CENTRE[data_centre],
--- a/src/cowslipshift/steering/balancer.py
+++ b/src/cowslipshift/steering/balancer.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 from cowslipshift.admission import deadlines
@@ -76,6 +77,8 @@
         self.accounts = account_limiters
         self.rollouts: dict[str, rollouts.Rollout] = {}
         self.configuration: model.Configuration | None = None
+        self._era = 0
+        self._settles_at_s = -math.inf
         self.inventory = inventories.Inventory()
         self.server_signals = serversignals.ServerSignals()
         self.server_limits = serverlimits.ServerLimits(membership.own)
@@ -136,12 +139,30 @@
     # Changes from the store
 
     def is_outdated(self, change: changes.Change, now: float) -> bool:
-        """Tell whether a newer change of the same server was applied."""
-        return (
-            isinstance(change, changes.BackendChange)
-            and change.backend is not None
-            and self.inventory.is_outdated(change.backend, now)
-        )
+        """Tell whether a newer change of the same thing was applied."""
+        if isinstance(change, changes.BackendChange):
+            return change.backend is not None and self.inventory.is_outdated(
+                change.backend, now
+            )
+        if isinstance(change, changes.StageChange):
+            rollout = self._get_rollout(change.service)
+            return rollout.is_behind(change.stage, change.era)
+        return False
+
+    def begin_era(self, era: int, now: float) -> None:
+        """Follow a store that may have lost a part of what it held.
+
+        No stage of a roll-out is decided before those who know a further one
+        have had the time to write it.
+
+        Args:
+            era: Era of the store.
+            now: Present time.
+        """
+        self._era = era
+        self._settles_at_s = now + inventories.STORE_RECOVERY_S
+        for rollout in self.rollouts.values():
+            rollout.begin_era(era, self._settles_at_s)
 
     def apply(self, change: changes.Change, now: float) -> bool:
         """Apply a change; return whether it differs from the known state."""
@@ -195,6 +216,7 @@
         rollout = self.rollouts.get(service)
         if rollout is None:
             rollout = self.rollouts[service] = rollouts.Rollout(service)
+            rollout.begin_era(self._era, self._settles_at_s)
         return rollout
 
     # Requests
--- a/src/cowslipshift/steering/rollouts.py
+++ b/src/cowslipshift/steering/rollouts.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -189,6 +190,7 @@
         "_is_lost",
         "_lost_answers",
         "_peers",
+        "_settles_at_s",
         "_started_s",
         "rejects_new_version",
         "counts",
@@ -205,6 +207,7 @@
         self.stage_revision = 0
         self._era = 0
         self._is_lost = False
+        self._settles_at_s = -math.inf
         self.counts = Counts()
         self.rejects_new_version = False
         self._peers: dict[str, Counts] = {}
@@ -213,6 +216,16 @@
         self._started_s = 0.0
         self._due_since_s = 0.0
 
+    def begin_era(self, era: int, settles_at_s: float) -> None:
+        """Follow a store that may have lost a part of what it held.
+
+        Args:
+            era: Era of the store.
+            settles_at_s: Time until which other hosts may know more.
+        """
+        self._era = era
+        self._settles_at_s = settles_at_s
+
     def set_order(self, order: model.RolloutOrder | None, now: float) -> None:
         """Apply the operators' order, or its removal."""
         if order is not None and (
@@ -258,29 +271,34 @@
             now: Present time.
             era: Era of the store.
         """
-        known = self.stage
-        self._is_lost = known is not None and self._is_behind(
-            stage, known, era
-        )
+        self._is_lost = self.is_behind(stage, era)
         if not self._is_lost:
             self.stage = stage
-        self._era = era
+        self._era = max(self._era, era)
         self.stage_revision = revision
         self._due_since_s = now
         self._apply_elapsed_time(now)
 
-    def _is_behind(self, stage: Stage | None, known: Stage, era: int) -> bool:
+    def is_behind(self, stage: Stage | None, era: int) -> bool:
         """Tell whether the store has lost a stage that is known.
 
         Args:
             stage: The stage in the store, if there is one.
-            known: The known stage.
             era: Era of the store.
         """
+        known = self.stage
+        if known is None:
+            return False
         if stage is None:
             return era > 0
         is_same_version = stage.version == known.version
-        if era == self._era and stage.era == known.era:
+        if stage.era == known.era:
+            if stage.era < era:
+                # Both are from before the store came back.
+                return (stage.order, stage.progress) < (
+                    known.order,
+                    known.progress,
+                )
             is_same = is_same_version and stage.order == known.order
             return is_same and stage.progress[:2] < known.progress[:2]
         if is_same_version:
@@ -437,7 +455,7 @@
             name: This host.
             hosts: All live hosts.
         """
-        proposed = self._restore() or self._propose_next(now, wall_s)
+        proposed = self._restore(now) or self._propose_next(now, wall_s)
         if proposed is None:
             self._due_since_s = now
             return None
@@ -448,22 +466,36 @@
             return None
         return proposed
 
-    def _restore(self) -> Stage | None:
-        """Return the known stage if the store has lost it, or its era."""
+    def _restore(self, now: float) -> Stage | None:
+        """Return the known stage if the store has lost it, or its era.
+
+        A stage of the store's present era stands for what all hosts know. It
+        gets that era once those who know a further one have had the time to
+        write it.
+        """
         known = self.stage
         if known is None:
             return None
-        if known.era >= self._era and not self._is_lost:
+        if self._is_settled(now):
+            if known.era >= self._era and not self._is_lost:
+                return None
+            restored = self._renew(known)
+        elif self._is_lost:
+            restored = known
+        else:
             return None
-        is_current = self.order is not None and known.belongs_to(self.order)
-        order = (
-            self.order.order
-            if is_current and self.order is not None
-            else known.order
-        )
-        return msgspec.structs.replace(
-            known, order=order, era=self._era, reason="restored"
-        )
+        return msgspec.structs.replace(restored, reason="restored")
+
+    def _renew(self, stage: Stage) -> Stage:
+        """Return a stage as one of the store's present era."""
+        number = stage.order
+        if self.order is not None and stage.belongs_to(self.order):
+            number = self.order.order
+        return msgspec.structs.replace(stage, order=number, era=self._era)
+
+    def _is_settled(self, now: float) -> bool:
+        """Tell whether what other hosts know is certainly known here."""
+        return now >= self._settles_at_s
 
     def _propose_next(self, now: float, wall_s: float) -> Stage | None:
         stage = self.get_current_stage()
@@ -471,6 +503,9 @@
             return None
         if stage is not None and stage.state != WATCHING:
             return None
+        has_present_stage = stage is not None and stage.era >= self._era
+        if not has_present_stage and not self._is_settled(now):
+            return None
         return self._evaluate(stage, now, wall_s)
 
     def defer(self, now: float) -> None:
--- a/tests/edge/test_store_eras.py
+++ b/tests/edge/test_store_eras.py
@@ -7,6 +7,7 @@
 
 import msgspec
 import pytest
+from tests.edge import drills
 
 from cowslipshift.edge import watcher as watchers
 from cowslipshift.platform import names
@@ -17,75 +18,17 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
-    from cowslipshift.edge import service as edge_service
 
-NOISE_KEY = "cowslipshift/other"
-AWAY_S = 0.7
-IN_FORCE_S = 2.0
 WRITES = (0, 3, 200)
 EVACUATION_KEY = names.EVACUATION_PREFIX + "south-a"
 ORDER_KEY = names.ROLLOUT_PREFIX + platformfleet.WRITE_SERVICE
 STAGE_KEY = names.STAGE_PREFIX + platformfleet.WRITE_SERVICE
 
 
-class Drill:
-    """A fleet whose store loses what was written since a copy was taken."""
-
-    def __init__(self, fleet: platformfleet.PlatformFleet) -> None:
-        self.fleet = fleet
-        self.store = fleet.store
-
-    async def lose(self, writes: int) -> None:
-        """Write something else, then come back from the copy."""
-        for number in range(writes):
-            self.store.put(NOISE_KEY, b"%d" % number)
-        await self.settle()
-        self.store.faults.status = 503
-        self.store.cut_watches()
-        await asyncio.sleep(AWAY_S)
-        self.store.come_back()
-        self.store.faults.status = 0
-
-    async def settle(self) -> None:
-        """Wait until all hosts have the present state of the store."""
-        await platformfleet.wait_until(
-            lambda: all(
-                host.revision >= self.store.revision
-                for host in self.fleet.hosts
-            )
-        )
-
-    async def wait_for_era(self) -> None:
-        await platformfleet.wait_until(
-            lambda: all(
-                host.position.era == self.store.era
-                for host in self.fleet.hosts
-            )
-        )
-
-    async def wait_in_force(self, version: int) -> None:
-        async with asyncio.timeout(IN_FORCE_S):
-            while any(h.balancer.version < version for h in self.fleet.hosts):
-                await asyncio.sleep(0.02)
-
-    def write_again(self) -> None:
-        """Let the servers write their entries again."""
-        for identity in self.fleet.backends:
-            self.fleet.update_backend_state(identity, "ready")
-
-    async def add_server(self) -> str:
-        """Start another server; return its id."""
-        await self.fleet.add_backend(platformfleet.READ_SERVICE, "north-a")
-        return list(self.fleet.backends)[-1]
-
-    def list_servers(self, host: edge_service.EdgeService) -> set[str]:
-        return set(host.balancer.inventory.by_id)
-
-
 @pytest.fixture
-async def drill() -> AsyncIterator[Drill]:
+async def drill() -> AsyncIterator[drills.Drill]:
     async with platformfleet.PlatformFleet(backends=1) as fleet:
-        yield Drill(fleet)
+        yield drills.Drill(fleet)
 
 
 # Guards against hosts that follow a store that is no more until its revisions
@@ -106,7 +49,7 @@
     leaving, *_ = fleet.backends
     drill.store.delete(names.BACKEND_PREFIX + leaving)
     joining = await drill.add_server()
-    await asyncio.sleep(IN_FORCE_S)
+    await asyncio.sleep(drills.IN_FORCE_S)
     for host in fleet.hosts:
         assert leaving not in drill.list_servers(host)
         assert joining in drill.list_servers(host)
