Keep a removed server removed when the store comes back

A server that had been removed more than 15 s before the store came back from a copy that still had it got requests again.

Cause: removals are remembered for late writes, of which none comes after 15 s, and the memory was asked with that limit also where a copy brings the entry back. The limit no longer holds for servers that were removed before the era.

The new test failed before: the entry was not outdated 20 s after its removal.

--- a/src/cowslipshift/steering/inventory.py
+++ b/src/cowslipshift/steering/inventory.py
@@ -99,10 +99,12 @@
         if known is not None:
             return entry.is_older_than(known.entry)
         last, removed_s = self._removed.get(entry.id, (None, 0.0))
-        if last is None or now - removed_s > LATE_WRITE_S:
+        if last is None:
             return False
         if entry.id in self._removed_before_era and last.started_ms:
             return not last.is_older_than(entry)
+        if now - removed_s > LATE_WRITE_S:
+            return False
         return entry.is_older_than(last)
 
     def apply_entry(self, entry: model.Backend, now: float) -> bool:
--- a/tests/steering/test_late_entries.py
+++ b/tests/steering/test_late_entries.py
@@ -50,6 +50,18 @@
     assert inventory.list_servers("sheets") == []
 
 
+# Guards against a server that was removed a while before the store came back
+# from a copy, and gets requests again as the copy still has it.
+def test_copy_brings_no_server_back_that_is_long_removed(inventory) -> None:
+    inventory.apply_entry(build_entry(9), 1.0)
+    inventory.remove_entry(SERVER, 2.0)
+    lost_s = 2.0 + inventories.LATE_WRITE_S + 5.0
+    inventory.begin_era(lost_s)
+    assert inventory.is_outdated(build_entry(9), lost_s)
+    inventory.apply_entry(build_entry(9), lost_s)
+    assert inventory.list_servers("sheets") == []
+
+
 # Guards against an earlier start of a server that comes back in the same way.
 def test_entry_of_an_earlier_start_brings_no_removed_server_back(
     inventory,
