Count a host of a copy as dead until it is heard

Hosts named dead hosts to callers for up to 1.6 s after the store had come back from a copy with their announcements: each was taken for a host that had just joined, which may be silent for a while. The same start of a host that was gone counts as dead now until it is heard; the starts of the last 1,000 hosts are remembered.

The new test failed before: the host was listed without a heartbeat.

--- a/src/cowslipshift/steering/membership.py
+++ b/src/cowslipshift/steering/membership.py
@@ -32,6 +32,9 @@
 """Factor by which a relayed heartbeat may come later than its interval, as it
 waits for the next heartbeat of the relay."""
 
+MAX_FORMER_HOSTS = 1000
+"""Hosts that are gone of which the start is remembered."""
+
 
 class Membership:
     """The hosts of the system as one of them sees it.
@@ -52,6 +55,7 @@
         self._last_heard_s: dict[str, float] = {}
         self._leaving: set[str] = set()
         self._unregistered: set[str] = set()
+        self._former: dict[str, int] = {}
         self._interval_factor = 1.0
 
     def set_member(
@@ -63,6 +67,10 @@
         is kept until they stop: the store may have turned it away, so that
         its registration expired, and then it depends on the other hosts.
 
+        A host that was gone is not taken for a new one if the same start of it
+        is announced again, as a store does that has come back from a copy. It
+        counts as dead until it is heard.
+
         Returns:
             Whether a host has joined or started again.
         """
@@ -79,11 +87,12 @@
         self._members[name] = member
         self._record_change()
         has_joined = known is None or known.incarnation != member.incarnation
-        if has_joined:
+        if has_joined and self._former.get(name) != member.incarnation:
             intervals = FAILURE_TIMEOUT_INTERVALS - JOIN_GRACE_INTERVALS
             self._last_heard_s[name] = (
                 now - intervals * self.get_heartbeat_interval()
             )
+        if has_joined:
             self._leaving.discard(name)
         return has_joined
 
@@ -146,7 +155,12 @@
 
     def _remove(self, name: str) -> None:
         self._unregistered.discard(name)
-        self._members.pop(name, None)
+        member = self._members.pop(name, None)
+        if member is not None:
+            self._former.pop(name, None)
+            self._former[name] = member.incarnation
+            if len(self._former) > MAX_FORMER_HOSTS:
+                self._former.pop(next(iter(self._former)))
         self._last_heard_s.pop(name, None)
         self._record_change()
 
--- a/tests/steering/test_membership.py
+++ b/tests/steering/test_membership.py
@@ -101,3 +101,24 @@
     membership.set_member("h2", builders.build_member("h2"), 1.5)
     assert membership.drop_unregistered(9.0) == []
     assert [m.name for m in membership.list_peers()] == ["h2"]
+
+
+# Guards against hosts that send callers to a dead one, as the store has come
+# back from a copy that still has its announcement.
+def test_former_host_is_unlisted_until_it_is_heard() -> None:
+    membership = build_membership("h2")
+    membership.set_member("h2", None, 4.0)
+    assert list_names(membership, 4.0) == {"h1"}
+    membership.set_member("h2", builders.build_member("h2"), 5.0)
+    assert list_names(membership, 5.0) == {"h1"}
+    membership.record_heartbeat("h2", 1, False, 5.2)
+    assert list_names(membership, 5.2) == {"h1", "h2"}
+
+
+def test_number_of_remembered_hosts_is_bounded() -> None:
+    membership = build_membership()
+    for number in range(2 * memberships.MAX_FORMER_HOSTS):
+        name = f"h{number + 2}"
+        membership.set_member(name, builders.build_member(name), 0.0)
+        membership.set_member(name, None, 4.0)
+    assert len(membership._former) == memberships.MAX_FORMER_HOSTS
