Decide stages only with a recent replica

A host that was suspended or cut off decided the stage of a roll-out from the time that had passed, before it had read what the others had written meanwhile. The compare-and-swap refused most such writes; after a return of the store its revisions are given out again, and one may fit.

Change: a host whose replica was not proven current within twice the time after which it reads the store itself leaves stages to the next in rank.

--- a/src/cowslipshift/edge/rolloutcontroller.py
+++ b/src/cowslipshift/edge/rolloutcontroller.py
@@ -41,7 +41,13 @@
         self._log = logs.EventLog("verdicts")
 
     async def evaluate(self, now: float) -> None:
-        """Evaluate all roll-outs and write the stages that are due."""
+        """Evaluate all roll-outs and write the stages that are due.
+
+        A host that can't tell whether its replica is recent leaves them to
+        others: they may have gone further.
+        """
+        if not self._watcher.is_current(now):
+            return
         membership = self._balancer.membership
         hosts = [member.name for member in membership.list_usable(now)]
         for rollout in list(self._balancer.rollouts.values()):
--- a/src/cowslipshift/edge/watcher.py
+++ b/src/cowslipshift/edge/watcher.py
@@ -44,6 +44,9 @@
 DEFAULT_MAX_AGE_S = 1.2
 """Without proof for this long, a host watches the store itself."""
 
+CURRENT_AGES = 2.0
+"""Multiple of that time after which a replica no longer counts as recent."""
+
 WATCH_WAIT_FRACTION = 0.5
 """Fraction of that time after which a watch without changes ends, which is a
 proof."""
@@ -273,6 +276,10 @@
             self._log.warn("store_lost", reason=reason)
         self._on_store_outage()
 
+    def is_current(self, now: float) -> bool:
+        """Tell whether the replica was proven to be current lately."""
+        return self.measure_age(now) <= CURRENT_AGES * self._max_age_s
+
     def measure_behind(self, now: float) -> float:
         """Return for how long a newer revision has been known of.
 
