Tell other hosts what the store has lost, not only what it holds

A host that takes another one's replica after the store came back got the items of the copy: the older configuration, removed servers, no evacuation. The other host itself goes by what it knew before, but did not say so.

An older configuration, or its end, is reported as outdated like an older entry of a server, so that the known one is passed on.

--- a/src/cowslipshift/edge/logevents.py
+++ b/src/cowslipshift/edge/logevents.py
@@ -11,6 +11,8 @@
     """Return the name and the fields of the log event of a change."""
     if isinstance(change, changes.ConfigurationChange):
         configuration = change.configuration
+        if configuration is None:
+            return "plan_changed", {"gone": True}
         return "plan_changed", {
             "version": configuration.version,
             "routes": len(configuration.routes),
--- a/src/cowslipshift/edge/messages.capnp
+++ b/src/cowslipshift/edge/messages.capnp
@@ -81,4 +81,5 @@
   isWhole @1 :Bool;
   items @2 :List(StoreItem);
   era @3 :UInt32;
+  held @4 :List(StoreItem);
 }
--- a/src/cowslipshift/edge/messages.py
+++ b/src/cowslipshift/edge/messages.py
@@ -129,14 +129,19 @@
 
     Attributes:
         revision: Store revision up to which the items are complete.
-        is_snapshot: Whether these are all items, not only what changed.
+        is_snapshot: Whether these are all items, not only what changed. Items
+            without a value are then known to be gone, although the store may
+            have them.
         era: Era of the store that the revision belongs to.
+        held: With a snapshot, known items which the host goes on with for a
+            while, although the store has others.
     """
 
     revision: int
     is_snapshot: bool
     items: tuple[interface.Item, ...]
     era: int = 0
+    held: tuple[interface.Item, ...] = ()
 
     @property
     def position(self) -> interface.Position:
@@ -349,21 +354,32 @@
         revision=changes.revision,
         era=changes.era,
         isWhole=changes.is_snapshot,
-        items=[
-            {
-                "key": item.key,
-                "value": item.value or b"",
-                "revision": item.revision,
-                "created": item.created,
-                "isDeleted": item.value is None,
-            }
-            for item in changes.items
-        ],
+        items=[_describe_item(item) for item in changes.items],
+        held=[_describe_item(item) for item in changes.held],
     )
     packed: bytes = message.to_bytes_packed()
     return packed
 
 
+def _describe_item(item: interface.Item) -> dict[str, Any]:
+    return {
+        "key": item.key,
+        "value": item.value or b"",
+        "revision": item.revision,
+        "created": item.created,
+        "isDeleted": item.value is None,
+    }
+
+
+def _read_item(item: Any) -> interface.Item:
+    return interface.Item(
+        item.key,
+        None if item.isDeleted else bytes(item.value),
+        item.revision,
+        item.created,
+    )
+
+
 def decode_changes(raw: bytes) -> Changes:
     """Decode store changes.
 
@@ -378,16 +394,9 @@
         return Changes(
             reader.revision,
             reader.isWhole,
-            tuple(
-                interface.Item(
-                    item.key,
-                    None if item.isDeleted else bytes(item.value),
-                    item.revision,
-                    item.created,
-                )
-                for item in reader.items
-            ),
+            tuple(_read_item(item) for item in reader.items),
             reader.era,
+            tuple(_read_item(item) for item in reader.held),
         )
     except (capnp.KjException, packing.PackingError, ValueError) as error:
         raise exceptions.PeerError(
--- a/src/cowslipshift/edge/replica.py
+++ b/src/cowslipshift/edge/replica.py
@@ -29,7 +29,8 @@
     may be older than those that are known. What others wrote will be written
     again, so what is missing or differs there is held back for a while: the
     replica has the item of the store, and its listener goes on with the known
-    one.
+    one. A host that asks for a snapshot gets both, and is told which items of
+    the store are known to be gone.
 
     Args:
         on_change: Called with each item that changes a value, in order;
@@ -40,6 +41,9 @@
     Attributes:
         position: Position of the store up to which the replica is complete;
             revision 0 at first.
+        is_informed: Whether the replica has followed the store from before it
+            last came back, or has the items of one that has. The replica of a
+            host that has read nothing but a copy has not.
     """
 
     def __init__(
@@ -50,10 +54,12 @@
         ] = lambda known, stored: True,
     ) -> None:
         self.position = interface.Position()
+        self.is_informed = True
         self._on_change = on_change
         self._may_be_restored = may_be_restored
         self._held: dict[str, interface.Item] = {}
         self._items: dict[str, interface.Item] = {}
+        self._overruled: dict[str, interface.Item] = {}
         self._change_log: dict[str, interface.Item] = {}
         self._log_start_revision = 0
 
@@ -110,15 +116,18 @@
         items: Iterable[interface.Item],
         revision: int,
         era: int | None = None,
+        held: Iterable[interface.Item] = (),
     ) -> list[interface.Item]:
         """Replace all items; return the changes, deletions included.
 
         The change log restarts at the revision of the snapshot.
 
         Args:
-            items: All items of the store.
+            items: All items of the store. One without a value is known to be
+                gone, although the store may have it.
             revision: Revision up to which they are complete.
             era: Era of the revisions, the replica's own one by default.
+            held: Known items which whoever sent the snapshot goes on with.
         """
         position = interface.Position(
             self.era if era is None else era, revision
@@ -126,9 +135,16 @@
         if position < self.position:
             return []
         if position.era > self.era and self.revision:
-            return self._begin_era(items, position)
+            changed = self._begin_era(items, position)
+            self._hold(held)
+            return changed
         self.position = interface.Position(position.era, self.revision)
         current = {item.key: item for item in items}
+        self._overruled = {
+            key: item
+            for key, item in self._overruled.items()
+            if key in current or item.revision > revision
+        }
         deleted = [
             interface.Item(key, None, revision)
             for key, known in self._items.items()
@@ -137,8 +153,57 @@
         changed = [
             item for item in (*deleted, *current.values()) if self._apply(item)
         ]
+        self._overruled.update(
+            (key, item) for key, item in current.items() if item.value is None
+        )
         self.position = position
         self._restart_log()
+        self._hold(held)
+        return changed
+
+    def adopt_snapshot(self, found: messages.Changes) -> list[interface.Item]:
+        """Take over what a host knows that followed the store before its era.
+
+        Its items replace those of the same revision, as they are what that
+        host goes by.
+
+        Args:
+            found: A snapshot of that host, of the replica's own era. An
+                earlier one than the replica was built from is not taken over.
+
+        Returns:
+            The changes, deletions included.
+        """
+        if found.era != self.era or not found.is_snapshot:
+            return []
+        if found.revision < self._log_start_revision:
+            # What is missing here may have been deleted since.
+            return []
+        current = {item.key: item for item in found.items}
+        deleted = [
+            interface.Item(key, None, found.revision)
+            for key in self._items.keys() - current.keys()
+        ]
+        changed = []
+        for item in (*deleted, *current.values()):
+            last = self._change_log.get(item.key)
+            if last is not None and last.revision > found.revision:
+                continue
+            known = self._items.get(item.key) or interface.Item(
+                item.key, None, 0
+            )
+            if known.revision <= item.revision and self._replace(known, item):
+                changed.append(item)
+        self._overruled.update(
+            (key, item)
+            for key, item in current.items()
+            if item.value is None and key not in self._items
+        )
+        self.position = max(self.position, found.position)
+        # Others may have fetched what was replaced.
+        self._restart_log()
+        self._hold(found.held)
+        self.is_informed = True
         return changed
 
     def release_held(self) -> list[interface.Item]:
@@ -177,16 +242,34 @@
             items = tuple(newest_first)[::-1]
             return messages.Changes(self.revision, False, items, self.era)
         return messages.Changes(
-            self.revision, True, tuple(self._items.values()), self.era
+            self.revision,
+            True,
+            (*self._items.values(), *self._overruled.values()),
+            self.era,
+            tuple(self._held.values()),
         )
 
+    def _hold(self, held: Iterable[interface.Item]) -> None:
+        """Go on with what another host holds back, like that host."""
+        for known in held:
+            if known.key not in self._held:
+                self._on_change(known)
+                self._held[known.key] = known
+
     def _begin_era(
         self, items: Iterable[interface.Item], position: interface.Position
     ) -> list[interface.Item]:
         """Follow a store that has come back from a copy."""
+        items = tuple(items)
         known_items = self._items | self._held
-        self._items = {item.key: item for item in items}
+        self._items = {
+            item.key: item for item in items if item.value is not None
+        }
+        self._overruled = {
+            item.key: item for item in items if item.value is None
+        }
         self._held = {}
+        self.is_informed = True
         self.position = position
         self._restart_log()
         changed = []
@@ -218,8 +301,11 @@
 
     def _apply(self, item: interface.Item) -> bool:
         known = self._items.get(item.key)
-        if known is not None and known.revision >= item.revision:
-            return False
+        overruled = self._overruled.get(item.key)
+        for last in (known, overruled):
+            if last is not None and last.revision >= item.revision:
+                return False
+        self._overruled.pop(item.key, None)
         # The listener goes on with a value that is held.
         known = self._held.pop(item.key, known)
         if known is None:
@@ -237,6 +323,8 @@
             item = interface.Item(
                 item.key, known.value, item.revision, item.created
             )
+            if item.value is None:
+                self._overruled[item.key] = item
         if item.value is None:
             self._items.pop(item.key, None)
         else:
--- a/src/cowslipshift/edge/watcher.py
+++ b/src/cowslipshift/edge/watcher.py
@@ -391,7 +391,7 @@
         if found.position <= self.replica.position:
             return
         if found.is_snapshot:
-            self._apply_snapshot(found.items, found.position)
+            self._apply_snapshot(found.items, found.position, found.held)
         else:
             self._notify(
                 self.replica.apply_changes(
@@ -400,7 +400,10 @@
             )
 
     def _apply_snapshot(
-        self, items: tuple[interface.Item, ...], position: interface.Position
+        self,
+        items: tuple[interface.Item, ...],
+        position: interface.Position,
+        held: tuple[interface.Item, ...] = (),
     ) -> None:
         known = self.replica.position
         has_new_era = position.era > known.era
@@ -408,7 +411,7 @@
             self._on_era(position.era, known.revision > 0)
             self._held_until_s = self._clock.now() + RESTORATION_S
         changed = self.replica.apply_snapshot(
-            items, position.revision, position.era
+            items, position.revision, position.era, held
         )
         if has_new_era and known.revision:
             self._log.warn(
--- a/src/cowslipshift/platform/translation.py
+++ b/src/cowslipshift/platform/translation.py
@@ -33,10 +33,8 @@
     """
     key, value = item.key, item.value
     if key == names.CONFIG_KEY:
-        return (
-            changes.ConfigurationChange(codec.decode_configuration(value))
-            if value
-            else None
+        return changes.ConfigurationChange(
+            codec.decode_configuration(value) if value else None
         )
     if key.startswith(names.BACKEND_PREFIX):
         identity = key.removeprefix(names.BACKEND_PREFIX)
--- a/src/cowslipshift/steering/balancer.py
+++ b/src/cowslipshift/steering/balancer.py
@@ -144,6 +144,9 @@
             return change.backend is not None and self.inventory.is_outdated(
                 change.backend, now
             )
+        if isinstance(change, changes.ConfigurationChange):
+            offered = change.configuration
+            return (0 if offered is None else offered.version) < self.version
         if isinstance(change, changes.StageChange):
             rollout = self._get_rollout(change.service)
             return rollout.is_behind(change.stage, change.era)
@@ -185,9 +188,9 @@
         return True
 
     def _apply_configuration(
-        self, configuration: model.Configuration, now: float
+        self, configuration: model.Configuration | None, now: float
     ) -> bool:
-        if (
+        if configuration is None or (
             self.configuration is not None
             and configuration.version <= self.configuration.version
         ):
--- a/src/cowslipshift/steering/changes.py
+++ b/src/cowslipshift/steering/changes.py
@@ -12,9 +12,9 @@
 
 
 class ConfigurationChange(msgspec.Struct, frozen=True):
-    """A new version of the configuration."""
+    """A new version of the configuration, or its entry is gone (``None``)."""
 
-    configuration: model.Configuration
+    configuration: model.Configuration | None
 
 
 class BackendChange(msgspec.Struct, frozen=True):
--- a/tests/fuzz/test_replica_machine.py
+++ b/tests/fuzz/test_replica_machine.py
@@ -134,6 +134,11 @@
         found = self.replicas[source].list_changes(after.revision, after.era)
         self.receive(host, found, is_late)
 
+    @stateful.rule(host=hosts, source=hosts)
+    def adopt(self, host: int, source: int) -> None:
+        found = self.replicas[source].list_changes(0)
+        self.replicas[host].adopt_snapshot(found)
+
     @stateful.precondition(lambda self: self.late)
     @stateful.rule(index=st.integers(0, 5))
     def deliver_late(self, index: int) -> None:
@@ -148,7 +153,9 @@
             self.late.append((host, found))
         elif found.is_snapshot:
             if found.position > replica.position:
-                replica.apply_snapshot(found.items, found.revision, found.era)
+                replica.apply_snapshot(
+                    found.items, found.revision, found.era, found.held
+                )
         else:
             replica.apply_changes(found.items, found.revision, found.era)
 
