Ask other hosts before following a store that has come back

A host that started as the store had come back from a copy served from the copy until all was written again: an older configuration, removed servers, evacuated data centres (left open in docs/design/store-eras.md).

A new metric tells it apart (`cowslipshift_replica_is_informed`).

--- a/src/cowslipshift/edge/changeserver.py
+++ b/src/cowslipshift/edge/changeserver.py
@@ -15,6 +15,9 @@
 if TYPE_CHECKING:
     from cowslipshift.edge import replica as replicas
 
+INFORMED_PARAM = "informed"
+"""Asks only a host that knows what was known before the store's era."""
+
 ENCODING = "deflate"
 COMPRESSION_LEVEL = 1
 """Configurations repeat the same fields, which the fastest level finds."""
@@ -47,6 +50,8 @@
             era = int(request.query.get("era", self._replica.era))
         except ValueError:
             return web.Response(status=400)
+        if request.query.get(INFORMED_PARAM) and not self._replica.is_informed:
+            return web.Response(status=503)
         raw, compressed = self._encode(interface.Position(era, after))
         accepted = request.headers.get(hdrs.ACCEPT_ENCODING, "")
         if len(raw) < MIN_COMPRESSED_BYTES or ENCODING not in accepted:
--- a/src/cowslipshift/edge/metrics.py
+++ b/src/cowslipshift/edge/metrics.py
@@ -66,6 +66,10 @@
                     "cowslipshift_replica_age_seconds",
                     "Time since the replica was last proven current.",
                 ),
+                (
+                    "cowslipshift_replica_is_informed",
+                    "0 while nothing but an older copy was read.",
+                ),
             )
         }
         self._latency = aioprometheus.Histogram(
@@ -182,6 +186,7 @@
         version: int,
         behind_s: float,
         age_s: float,
+        is_informed: bool,
     ) -> None:
         """Record how far this host has followed the store.
 
@@ -190,6 +195,7 @@
             version: Version of the configuration in force.
             behind_s: Seconds for which a newer revision has been known of.
             age_s: Seconds since the replica was last proven current.
+            is_informed: Whether more is known than an older copy.
         """
         for name, value in (
             ("cowslipshift_store_revision", position.revision),
@@ -197,6 +203,7 @@
             ("cowslipshift_config_version", version),
             ("cowslipshift_behind_seconds", behind_s),
             ("cowslipshift_replica_age_seconds", age_s),
+            ("cowslipshift_replica_is_informed", int(is_informed)),
         ):
             self._gauges[name].set({}, value)
 
--- a/src/cowslipshift/edge/peerclient.py
+++ b/src/cowslipshift/edge/peerclient.py
@@ -7,6 +7,7 @@
 import aiohttp
 
 from cowslipshift import transfers
+from cowslipshift.edge import changeserver
 from cowslipshift.edge import exceptions
 from cowslipshift.edge import messages
 from cowslipshift.edge import usagemessages
@@ -22,6 +23,10 @@
 """Time limit for the first byte of an answer, and for pauses in it."""
 
 
+def _describe_position(position: interface.Position) -> dict[str, str]:
+    return {"after": str(position.revision), "era": str(position.era)}
+
+
 class PeerClient:
     """Client of the internal HTTP interface of other hosts.
 
@@ -54,9 +59,27 @@
         Raises:
             PeerError: The other host gave no valid answer in time.
         """
+        raw = await self._fetch(
+            f"http://{address}/changes", _describe_position(after)
+        )
+        return messages.decode_changes(raw)
+
+    async def fetch_knowledge(
+        self, address: str, after: interface.Position
+    ) -> messages.Changes:
+        """Fetch changes from a host that knows more than the store's copy.
+
+        Args:
+            address: ``ip:port`` of the other host.
+            after: Position of the own replica; revision 0 for a snapshot.
+
+        Raises:
+            PeerError: The other host gave no valid answer in time, or knows
+                no more than what the store held when its era began.
+        """
         raw = await self._fetch(
             f"http://{address}/changes",
-            {"after": str(after.revision), "era": str(after.era)},
+            {**_describe_position(after), changeserver.INFORMED_PARAM: "1"},
         )
         return messages.decode_changes(raw)
 
--- a/src/cowslipshift/edge/service.py
+++ b/src/cowslipshift/edge/service.py
@@ -109,6 +109,7 @@
         await self._listen_internal()
         await self._listen_callers()
         self._supervisor.start(self._watcher.run)
+        self._supervisor.start(self._watcher.run_consultation)
         self._supervisor.start(self._registration.run)
         self._supervisor.start(self._run_ticks)
         self._supervisor.start(self._run_rollout_evaluation)
@@ -283,6 +284,7 @@
             * watchers.MAX_AGE_BOUND_FRACTION,
             self._begin_store_era,
             restoration.may_be_restored,
+            translation.list_members,
         )
         self._registration = registration.HostRegistration(
             self._clock, self._own, self._store, self._watcher
@@ -427,6 +429,7 @@
             self._balancer.version,
             self._watcher.measure_behind(now),
             self._watcher.measure_age(now),
+            self._watcher.replica.is_informed,
         )
         content, headers = self._metrics.render()
         return web.Response(body=content, headers=headers)
--- a/src/cowslipshift/edge/watcher.py
+++ b/src/cowslipshift/edge/watcher.py
@@ -19,6 +19,7 @@
 from typing import TYPE_CHECKING
 
 from cowslipshift.coordination import hashing
+from cowslipshift.edge import consultation
 from cowslipshift.edge import exceptions
 from cowslipshift.edge import replica as replicas
 from cowslipshift.steering import freshness
@@ -30,6 +31,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Iterable
 
     from cowslipshift import clock as clocks
     from cowslipshift.edge import messages
@@ -60,11 +62,14 @@
 """How long after the store has come back from a copy what others wrote may be
 written again, as after an outage."""
 
+CONSULTATION_INTERVAL_S = 0.4
+"""Pause between two questions of a host that knows the store's copy only."""
+
 STORE_RETRY_DELAY_S = 0.3
 ALL_KEYS = ""
 
 
-class ChangeClient(Protocol):
+class ChangeClient(consultation.KnowledgeClient, Protocol):
     """Fetches changes in the store from other hosts."""
 
     async def fetch_changes(
@@ -94,6 +99,7 @@
         on_era: Called before the first items of an era are applied, with the
             era and whether the host has followed an earlier one.
         may_be_restored: Tells what the replica holds back then.
+        find_hosts: Finds the hosts that are registered among items.
         max_age_s: Time without proof of being current after which the host
             watches the store itself.
 
@@ -116,6 +122,9 @@
         may_be_restored: Callable[
             [interface.Item, interface.Item], bool
         ] = lambda known, stored: True,
+        find_hosts: Callable[
+            [Iterable[interface.Item]], list[model.Member]
+        ] = lambda items: [],
     ) -> None:
         self.replica = replicas.StoreReplica(on_change, may_be_restored)
         self._clock = clock
@@ -126,6 +135,8 @@
         self._on_store_outage = on_store_outage
         self._on_revision = on_revision
         self._on_era = on_era
+        self._find_hosts = find_hosts
+        self._consultation = consultation.Consultation(membership, client)
         self._held_until_s: float | None = None
         self._max_age_s = max_age_s
         self._needs_snapshot = True
@@ -163,6 +174,28 @@
                 self.record_store_failure(error, started_s)
                 await asyncio.sleep(STORE_RETRY_DELAY_S)
 
+    async def run_consultation(self) -> None:
+        """Ask other hosts while this one knows the store's copy only.
+
+        Those that the store has lost register again within a second or so.
+        """
+        while True:
+            await asyncio.sleep(CONSULTATION_INTERVAL_S)
+            if self.replica.is_informed:
+                continue
+            found = await self._consultation.ask((), interface.Position())
+            if found is None or found.era != self.replica.era:
+                continue
+            changed = self.replica.adopt_snapshot(found)
+            self._log.warn(
+                "knowledge_adopted",
+                era=found.era,
+                revision=found.revision,
+                changed=len(changed),
+                held=",".join(self.replica.held_keys),
+            )
+            self._notify(changed)
+
     @property
     def is_store_reachable(self) -> bool:
         """Whether the store answers, as far as its last calls tell."""
@@ -186,10 +219,15 @@
             self.request_reread()
 
     def release_held(self, now: float) -> None:
-        """Apply what was held back in this era, once its time has passed."""
+        """Apply what was held back in this era, once its time has passed.
+
+        What no host has written again by then is gone, so that the replica has
+        all that is known.
+        """
         if self._held_until_s is None or now < self._held_until_s:
             return
         self._held_until_s = None
+        self.replica.is_informed = True
         released = self.replica.release_held()
         self._log.info(
             "held_released",
@@ -329,6 +367,8 @@
                 newest=max((i.revision for i in snapshot.items), default=0),
                 took_ms=(self._clock.now() - started_s) * 1000,
             )
+            if snapshot.era > self.replica.era:
+                await self._hear_others(snapshot)
             self._apply_snapshot(snapshot.items, snapshot.position)
             self.record_proof(snapshot.position, started_s)
             return
@@ -355,6 +395,25 @@
         if found.items:
             await asyncio.sleep(BATCH_PAUSE_S)
 
+    async def _hear_others(self, snapshot: interface.Snapshot) -> None:
+        """Learn what other hosts know, as the store may have lost it.
+
+        Args:
+            snapshot: What the store holds, in an era that is new to this host.
+        """
+        found = await self._consultation.ask(
+            self._find_hosts(snapshot.items), self.replica.position
+        )
+        if found is not None:
+            self._apply_fetched(found)
+        if not self.replica.revision:
+            self.replica.is_informed = False
+            self._log.warn(
+                "copy_unconfirmed",
+                era=snapshot.era,
+                revision=snapshot.revision,
+            )
+
     async def _fetch_from(self, member: model.Member) -> None:
         after, started_s = self.replica.position, self._clock.now()
         try:
--- a/src/cowslipshift/platform/translation.py
+++ b/src/cowslipshift/platform/translation.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -14,6 +15,8 @@
 from cowslipshift.steering import rollouts
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from cowslipshift.store import interface
 
 
@@ -64,6 +67,19 @@
     return None
 
 
+def list_members(items: Iterable[interface.Item]) -> list[model.Member]:
+    """Return the hosts that are registered, malformed entries left out."""
+    members = []
+    for item in items:
+        if not item.key.startswith(names.MEMBER_PREFIX):
+            continue
+        with contextlib.suppress(exceptions.MalformedEntryError):
+            member = _decode_member(item.value)
+            if member is not None:
+                members.append(member)
+    return members
+
+
 def _decode_member(value: bytes | None) -> model.Member | None:
     if value is None:
         return None
--- a/tests/edge/test_starts_after_losses.py
+++ b/tests/edge/test_starts_after_losses.py
@@ -21,8 +21,10 @@
 ORDER_KEY = names.ROLLOUT_PREFIX + SERVICE
 STAGE_KEY = names.STAGE_PREFIX + SERVICE
 STATUS_KEY = names.STATUS_PREFIX + SERVICE
+EVACUATION_KEY = names.EVACUATION_PREFIX + "south-a"
 RAMP_S = 3.0
 WATCHED_S = 6.0
+CONTACT_S = 3.0
 
 
 @pytest.fixture
@@ -77,3 +79,29 @@
         assert rollout.get_new_version_share() == 1.0
         assert rollout.may_use("v2", True)
         assert not rollout.may_use("v1", False)
+
+
+# Guards against a host that serves what others know to be gone: an older
+# configuration, a removed server, an evacuated data centre.
+@pytest.mark.parametrize("are_hosts_in_copy", [True, False])
+async def test_host_that_starts_from_the_copy_learns_from_others(
+    drill, are_hosts_in_copy
+) -> None:
+    fleet, store = drill.fleet, drill.store
+    removed, *_ = fleet.backends
+    if not are_hosts_in_copy:
+        for host in fleet.hosts:
+            store.delete(names.MEMBER_PREFIX + host.settings.node_name)
+    store.copy_state()
+    store.put(names.CONFIG_KEY, platformfleet.build_config(2))
+    store.delete(names.BACKEND_PREFIX + removed)
+    store.put(EVACUATION_KEY, b"{}")
+    await drill.lose(3)
+    host = await fleet.add_host("north-a")
+    async with asyncio.timeout(CONTACT_S):
+        while (
+            host.balancer.version < 2
+            or removed in drill.list_servers(host)
+            or host.balancer.inventory.evacuated != {"south-a"}
+        ):
+            await asyncio.sleep(0.02)
