Deny nothing with a configuration that may be out of date

A host that was cut off from the store and the other hosts, or too slow to follow them, answered 404 or 401 as its older configuration said.

Cause: what a configuration lacks was denied however long nothing had proven it to be recent. Change: once its replica was not proven current for nine tenths of the time within which a change is to be in force, a host answers 503 `configuration_old` with Retry-After in place of 401 and 404.

--- a/src/cowslipshift/edge/handler.py
+++ b/src/cowslipshift/edge/handler.py
@@ -41,6 +41,7 @@
         deps: Objects that the attempts of all requests share.
         on_urgent: Called when an account's usage has to be reported to the
             other hosts at once.
+        is_current: Tells whether the configuration is known to be recent.
 
     Attributes:
         in_flight: Requests that are not answered yet.
@@ -50,8 +51,10 @@
         self,
         deps: attempts.Dependencies,
         on_urgent: Callable[[], None],
+        is_current: Callable[[float], bool] = lambda now: True,
     ) -> None:
         self.in_flight = 0
+        self._is_current = is_current
         self._deps = deps
         self._clock = deps.clock
         self._balancer = deps.balancer
@@ -126,14 +129,14 @@
             request.headers.get("Host", ""), path
         )
         if route is None:
-            raise attempts.Refused(404, "route_unknown")
+            raise self._deny(404, "route_unknown")
         account = (
             self._balancer.find_account(request_headers.api_key)
             if request_headers.api_key
             else None
         )
         if account is None and not route.is_public and configuration.accounts:
-            raise attempts.Refused(401, "key_unknown")
+            raise self._deny(401, "key_unknown")
         if self._is_too_late(route, received.arrived_s):
             raise attempts.Refused(503, "leaving", LEAVING_RETRY_AFTER_S)
         until_s = (
@@ -193,6 +196,18 @@
         if not task.cancelled():
             task.exception()
 
+    def _deny(self, status: int, code: str) -> attempts.Refused:
+        """Return the refusal of a request that the configuration denies.
+
+        A host whose configuration may be out of date can't tell. Callers try
+        another host then, which they don't after a 401 or 404.
+        """
+        if self._is_current(self._clock.now()):
+            return attempts.Refused(status, code)
+        return attempts.Refused(
+            503, "configuration_old", NOT_READY_RETRY_AFTER_S
+        )
+
     def _is_too_late(self, route: model.Route, arrived_s: float) -> bool:
         """Tell whether a host that leaves may have to abandon a request."""
         return (
--- a/src/cowslipshift/edge/service.py
+++ b/src/cowslipshift/edge/service.py
@@ -269,6 +269,7 @@
                 counter,
             ),
             self._send_urgent,
+            self._is_current,
         )
         self._watcher = watchers.Watcher(
             self._clock,
@@ -486,6 +487,10 @@
             self._log.info(event, revision=item.revision, **fields)
         return is_outdated
 
+    def _is_current(self, now: float) -> bool:
+        """Tell whether the configuration in force is known to be recent."""
+        return self._watcher.is_current(now)
+
     def _record_store_outage(self) -> None:
         self._balancer.inventory.record_store_outage(self._clock.now())
 
--- a/src/cowslipshift/edge/watcher.py
+++ b/src/cowslipshift/edge/watcher.py
@@ -46,8 +46,9 @@
 DEFAULT_MAX_AGE_S = 1.2
 """Without proof for this long, a host watches the store itself."""
 
-CURRENT_AGES = 2.0
-"""Multiple of that time after which a replica no longer counts as recent."""
+CURRENT_AGES = 1.5
+"""Multiple of that time after which a replica no longer counts as recent: a
+change that has to be in force by then may be missing from it."""
 
 WATCH_WAIT_FRACTION = 0.5
 """Fraction of that time after which a watch without changes ends, which is a
