Let any host write a stage again that the store lacks

Cause: a host that was told of a known stage by another one, where the store has none, would expect a revision that the store does not have, so that only hosts that had read the store themselves could write it again. By reading; no run has shown it.

Change: a stage that the store lacks is not passed on as an item of the store. All hosts that know it keep it and write it again.

The test's new lines failed before (the missing stage was called outdated).

--- a/src/cowslipshift/edge/watcher.py
+++ b/src/cowslipshift/edge/watcher.py
@@ -188,6 +188,8 @@
             if found is None or found.era != self.replica.era:
                 continue
             changed = self.replica.adopt_snapshot(found)
+            if not self.replica.is_informed:
+                continue
             self._log.warn(
                 "knowledge_adopted",
                 era=found.era,
--- a/src/cowslipshift/steering/balancer.py
+++ b/src/cowslipshift/steering/balancer.py
@@ -148,6 +148,9 @@
             offered = change.configuration
             return (0 if offered is None else offered.version) < self.version
         if isinstance(change, changes.StageChange):
+            if change.stage is None:
+                # Whoever writes it again has to know that there is none.
+                return False
             rollout = self._get_rollout(change.service)
             return rollout.is_behind(change.stage, change.era)
         return False
--- a/tests/steering/test_lost_stages.py
+++ b/tests/steering/test_lost_stages.py
@@ -127,3 +127,8 @@
     assert balancer.is_outdated(
         changes.StageChange("sheets", COPIED, 40, 2), 0.0
     )
+    gone = changes.StageChange("sheets", None, 0, 2)
+    assert not balancer.is_outdated(gone, 0.0)
+    balancer.apply(gone, 0.0)
+    assert balancer.rollouts["sheets"].stage == COMPLETED
+    assert balancer.rollouts["sheets"].stage_revision == 0
